Obey SIGHUP: move the director to the new address and ask for the whole list

Now the file is decoded whole, then Director.move ends the old watch and tells the brain the list it holds as CACHED, which makes it ask anew at once and forget earlier failures. It asks from version 0: the new address need not count as the old did. A call that finds no connection is given up after 1 s instead of 4 s, and the brain's waits between failed calls stop growing at 0.5 to 1.5 s (brain.py, _listed; they went up to 6 s, longer than the list may be out of date). A watch that lives is kept when the brain asks again: a timer left over from before the move would have ended the new call.

Checked: the three new tests fail on the old sources and pass on these.

--- a/cedarmill/brain.py
+++ b/cedarmill/brain.py
@@ -416,7 +416,7 @@
 
     def _listed(self, event: api.WorkerList) -> None:
         if event.kind == ListKind.FAILED:
-            self.list_failures = min(self.list_failures + 1, 4)
+            self.list_failures = min(self.list_failures + 1, 2)
             wait = self.settings.ask_within_us / 40 * 2**self.list_failures * self.random.uniform(0.5, 1.5)
             self._arm(int(wait), lambda: self.actions.append(api.Subscribe()))
             return
--- a/cedarmill/net/config.py
+++ b/cedarmill/net/config.py
@@ -83,6 +83,17 @@
             raise ConfigError(f"configuration: {error}") from None
         self.name, self.known, self.limits = raw.name, raw.known, raw.limits
 
+    @classmethod
+    def load(cls, path: str) -> "Config":
+        """Read and decode a file; raises ConfigError or OSError."""
+        with open(path, "rb") as file:
+            return cls(file.read())
+
+    def fixed_changes(self, other: "Config") -> list[str]:
+        """What differs there of all that a running node keeps as it is."""
+        fixed = ("name", "listen", "limits", "settings")
+        return [name for name in fixed if getattr(self, name) != getattr(other, name)]
+
 
 class ListReader:
     """Turns the director's entries into the brain's; executors are numbered as they become known."""
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/director.py
@@ -13,7 +13,8 @@
 from cedarmill.net.turn import Turn, callback
 
 log = logging.getLogger("cedarmill")
-CALL_US = 4_000_000  # for a call to be answered
+CONNECT_US = 1_000_000
+CALL_US = 3_500_000  # for a call to be answered: calls wait their turn
 SILENCE_US = 3_500_000  # without a line: an empty one comes every 2 s
 MAX_LINE = 4 * 1024 * 1024
 _LISTING = msgspec.json.Decoder(Listing)
@@ -32,7 +33,7 @@
         self.task: asyncio.Task | None = None
 
     def open(self, address: Address) -> None:
-        self._await(CALL_US)
+        self._await(CONNECT_US)
         opening = self.turn.loop.create_connection(lambda: self, address.host, address.port)
         self.task = self.turn.loop.create_task(opening)
         self.task.add_done_callback(self._opened)
@@ -49,6 +50,7 @@
         if self.over:
             transport.abort()
             return
+        self._await(CALL_US)
         path = b"/v1/endpoints?watch=1&from=%d" % self.index
         transport.write(b"GET %s HTTP/1.1\r\nHost: director\r\n\r\n" % path)
 
@@ -117,6 +119,7 @@
         self.index = 0
         self.current: Watch | None = None
         self.healthy: bool | None = None
+        self.entries: dict[int, api.WorkerEntry] = {}  # the list as it stands
 
     def first(self, known: Listing) -> None:
         """The list of the configuration."""
@@ -140,15 +143,25 @@
                 continue
             entries.append(entry)
         self.index = listing.index
+        if kind != api.ListKind.DELTA:
+            self.entries.clear()
+        self.entries.update((entry.worker, entry) for entry in entries)
         self.dispatch.listed(self.turn.now(), api.WorkerList(kind, entries))
 
     def watch(self) -> None:
-        """The dispatch asks for changes from now on."""
-        if self.current is not None:
-            before, self.current = self.current, None
-            before.end("asked again")
-        self.current = Watch(self, self.index)
-        self.current.open(self.address)
+        """The dispatch asks for changes from now on; a watch that lives already brings them."""
+        if self.current is None:
+            self.current = Watch(self, self.index)
+            self.current.open(self.address)
+
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere now and may count otherwise: the list is out of date till all of it came."""
+        before, self.current = self.current, None
+        if before is not None:
+            before.end("moved")
+        self.address, self.index, self.healthy = address, 0, None
+        news = api.WorkerList(api.ListKind.CACHED, list(self.entries.values()))
+        self.dispatch.listed(self.turn.now(), news)
 
     def lost(self, watch: Watch, reason: str) -> None:
         """The brain learns of it, and asks again when it sees fit."""
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -28,8 +28,9 @@
 class Node:
     """One node on one loop."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, settings = config, config.settings
+    def __init__(self, path: str) -> None:
+        self.path, self.config = path, Config.load(path)
+        config, settings = self.config, self.config.settings
         self.loop = uvloop.new_event_loop()
         self.loop.set_exception_handler(self._exception)
         self.deadlines = Deadlines()
@@ -49,6 +50,7 @@
         """Serve until a signal has been obeyed; raises OSError where the address cannot be had."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._drain)
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.clients.listen(self.config.listen)
         self.director.first(self.config.known)
         log.info("node %s serves on %s port %d", self.config.name, self.config.listen.host, self.clients.port)
@@ -58,6 +60,21 @@
         self.loop.run_forever()
         log.info("node %s has ended", self.config.name)
 
+    def _reload(self) -> None:
+        """Take up a new configuration; one that cannot be used changes nothing."""
+        if self.draining:
+            return
+        try:
+            config = Config.load(self.path)
+        except (ConfigError, OSError) as error:
+            log.error("reload failed, the old configuration holds: %s", error)
+            return
+        if fixed := self.config.fixed_changes(config):
+            log.warning("reload: a change of %s takes a restart", ", ".join(fixed))
+        log.info("reloaded: the director is at %s port %d", config.discovery.host, config.discovery.port)
+        self.director.move(config.discovery)
+        self.turn.end()
+
     def _drain(self) -> None:
         if self.draining:
             return
@@ -92,9 +109,7 @@
     try:
         if not (path := os.environ.get("LB_CONFIG")):
             raise ConfigError("LB_CONFIG is not set")
-        with open(path, "rb") as file:
-            node = Node(Config(file.read()))
-        node.run()
+        Node(path).run()
     except (ConfigError, OSError) as error:
         print(f"cedarmill: {error}", file=sys.stderr)
         return 2
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -147,6 +147,7 @@
         for server in (self.director, *self.servers):
             self.addCleanup(server.close)
         self.log: list[str] = []
+        self.path = ""
         self.process = self.start(self.config())
         self.addCleanup(self.end)
         self.wait_log("serves on")
@@ -169,6 +170,7 @@
         with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
             json.dump(config, file)
         self.addCleanup(os.unlink, file.name)
+        self.path = file.name
         env = {**os.environ, "LB_CONFIG": file.name}
         command = [sys.executable, "-m", "cedarmill"]
         return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
@@ -186,6 +188,12 @@
             late.cancel()
         raise AssertionError(f"no {words!r} in {self.log}")
 
+    def reload(self, text: str) -> None:
+        """Replace the configuration file, as the platform does, then say so."""
+        Path(f"{self.path}.new").write_text(text)
+        os.replace(f"{self.path}.new", self.path)
+        self.process.send_signal(signal.SIGHUP)
+
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,7 @@
 import time
 import unittest
 
-from nodes import ROOT, WAIT, NodeCase
+from nodes import ROOT, WAIT, NodeCase, Server
 
 
 class Serving(NodeCase):
@@ -321,6 +321,68 @@
         self.assertIn(self.served_by(), (0, 1))
 
 
+class Reloading(NodeCase):
+    backends = 2
+
+    def test_the_director_moves_and_nothing_is_lost(self):
+        """SIGHUP once ended the process with all it held; the new address has to bring the whole list."""
+        old = self.director.next()
+        held = self.client().ask("issue")
+        while all(server.asked.empty() for server in self.servers):
+            self.assertFalse(held.answered(0.01))
+        asked = next(server for server in self.servers if not server.asked.empty()).next()
+        director = Server()
+        self.addCleanup(director.close)
+        self.reload(json.dumps({**self.config(), "discovery": director.address}))
+        self.wait_log("reloaded: the director is at 127.0.0.1")
+        self.assertTrue(old.wire.ended.wait(WAIT))
+        director.next().head("503 Service Unavailable")  # asked again soon
+        began, call = time.monotonic(), director.next()
+        self.assertLess(time.monotonic() - began, 1.5)
+        self.assertEqual(call.path, "/v1/endpoints?watch=1&from=0")  # its versions may be others
+        call.head()
+        call.line({"index": 3, "snapshot": True, "endpoints": [self.entry(1)]})
+        self.wait_log("watching from index 3")
+        for _ in range(8):
+            client = self.client().ask()
+            self.servers[1].next().done()
+            self.assertEqual(client.answer()[0], 200)
+        self.assertTrue(self.servers[0].asked.empty())
+        asked.done("kept")
+        self.assertEqual(held.answer(), (200, b"kept"))
+
+    def test_a_bad_file_keeps_the_old_configuration(self):
+        """Staff may err: the node must serve on, say so in one line, and take the next good file."""
+        watch = self.director.next()
+        for text in ("", "[]", json.dumps({**self.config(), "discovery": "nowhere"})):
+            self.reload(text)
+            self.wait_log("reload failed, the old configuration holds: ")
+        client = self.client().ask()
+        while self.servers[0].asked.empty() and self.servers[1].asked.empty():
+            self.assertFalse(client.answered(0.01))
+        next(server for server in self.servers if not server.asked.empty()).next().done()
+        self.assertEqual(client.answer()[0], 200)
+        self.assertFalse(watch.wire.ended.is_set())
+        changed = {**self.config(), "name": "n9", "limits": {"sockets": 300}}
+        self.reload(json.dumps(changed))
+        self.wait_log("a change of name, limits takes a restart")
+        self.assertTrue(watch.wire.ended.wait(WAIT))
+
+    def test_a_drain_goes_on_under_a_reload(self):
+        """Both signals may come on one day: what is held is answered, and the program ends with 0."""
+        client = self.client().ask("issue")
+        asked = None
+        while asked is None:
+            asked = next((server.next() for server in self.servers if not server.asked.empty()), None)
+        self.terminate()
+        self.wait_log("draining")
+        self.reload("{")
+        asked.done()
+        self.assertEqual(client.answer()[0], 200)
+        self.assertEqual(self.process.wait(WAIT), 0)
+        self.assertNotIn("reload", self.process.stderr.read())
+
+
 class Ending(NodeCase):
     def test_a_drain_answers_what_is_held_and_what_still_comes(self):
         """After SIGTERM reqs come for 0.4 s more; each gets its answer before the program ends with 0."""
