Bound bad sessions, refuse open ids, blame no backend for a 4xx, keep sessions in a drain

The executor's 400 counted as its error: 54 keyed ones went to five backends in turn, each losing a fifth to a half of its health (brain._outcome).

--- a/cedarmill/brain.py
+++ b/cedarmill/brain.py
@@ -404,7 +404,7 @@
         self._learn(worker, event.report, () if ghost else (attempt,))
         if event.final or request.done:
             self._finish(request)
-        elif self.now >= request.deadline or outcome == Outcome.MOOT:
+        elif self.now >= request.deadline or outcome in (Outcome.MOOT, Outcome.UNUSABLE):
             self._finish(request, api.Fail(request.id))
         elif not request.out and not self._place(request):
             self._turn_away(request)
--- a/cedarmill/interface.py
+++ b/cedarmill/interface.py
@@ -29,7 +29,10 @@
 
 
 class Outcome(IntEnum):
-    """How an attempt ended; FULL, CONNECT_FAILED and MOOT prove that it never ran."""
+    """How an attempt ended; FULL, CONNECT_FAILED and MOOT prove that it never ran.
+
+    UNUSABLE blames the request, not the worker: no other would take it.
+    """
 
     OK = 10
     ERROR = 20
@@ -39,6 +42,7 @@
     RESET = 60
     CANCELLED = 70
     MOOT = 80
+    UNUSABLE = 90
 
 
 class WorkerState(IntEnum):
--- a/cedarmill/net/backends.py
+++ b/cedarmill/net/backends.py
@@ -152,8 +152,11 @@
             return
         text = self.headers.get(b"x-load-report")
         report = self.report(load_header(text)) if text else None
-        turned_away = self.status in (503, 504) and self.headers.get(b"x-rejected") == b"1"
-        self.ending = Outcome.FULL if turned_away else Outcome.ERROR, report
+        if self.status in (503, 504) and self.headers.get(b"x-rejected") == b"1":
+            outcome = Outcome.FULL
+        else:
+            outcome = Outcome.UNUSABLE if 400 <= self.status < 500 else Outcome.ERROR
+        self.ending = outcome, report
 
     def on_complete(self) -> None:
         if not self.ending and self.body.strip():
--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -3,8 +3,10 @@
 import asyncio
 import logging
 import math
+import re
 import socket
 from collections import deque
+from itertools import islice
 
 import httptools
 
@@ -17,16 +19,23 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 MAX_PIPELINED = 8
-IDLE_US = 60_000_000
-SLOW_US = 15_000_000  # for one message to arrive whole
-LINGER_US = 1_000_000  # for a client to read the answer to what it should not have sent
+MAX_UNREAD = 1024 * 1024  # of what comes after the last answer is read and dropped
+FIRST_US = 2_800_000  # for a session's first good request to arrive whole
+IDLE_US = 60_000_000  # afterwards, between requests
+SLOW_US = 15_000_000  # afterwards, for a request to arrive whole
+GRACE_US = 150_000  # a session younger than that makes no room for others
+LINGER_US = 1_000_000  # for a client to read the last answer, though it may still be sending
 MARGIN_US = 20_000  # an answer leaves so long before the client's budget ends
 ACCEPT_AGAIN_US = 50_000
+ACCEPTS = 32  # in one turn: a flood of connections must not hold up the reqs
 BACKLOG = 1024
+CALL_ID = re.compile(rb"[!-~]{1,256}")
+ONCE = frozenset((b"x-call-id", b"x-call-class", b"x-caller", b"x-budget-ms", b"x-again", b"x-call-cost",
+                  b"x-call-info", b"idempotency-key", b"content-type", b"host"))  # fmt: skip
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
-    503: "Service Unavailable",
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
 }  # fmt: skip
 
 
@@ -41,12 +50,12 @@
 class Message:
     """One HTTP request as it arrives."""
 
-    __slots__ = ("began_at", "method", "target", "headers", "body", "keep_alive", "fault")
+    __slots__ = ("began_at", "method", "target", "headers", "body", "head", "keep_alive", "fault")
 
     def __init__(self, now: int) -> None:
         self.began_at = now
         self.method, self.target, self.headers, self.body = b"", b"", {}, bytearray()
-        self.keep_alive = True
+        self.head = self.keep_alive = True  # the head arrives first
         self.fault: BadMessage | None = None
 
     def number(self, name: bytes) -> int | None:
@@ -80,19 +89,22 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.message: Message | None = None  # what arrives now
-        self.head_bytes = 0
+        self.head_bytes = self.unread = 0
+        self.proven = False  # whether it has sent a good request
+        self.born = self.turn.now()
         self.faulty = False  # its input has gone wrong: nothing more is read from it
         self.waiting: deque[Message] = deque()
         self.answering: Message | None = None
         self.req: Req | None = None
-        self.ending = False
+        self.call_id = b""  # of the req that is open
+        self.ending = self.clogged = self.paused = False
         self.deadline = None
 
     @callback
     def connection_made(self, transport) -> None:
         self.transport = transport
-        self.clients.rested(self)
-        self._await(self.turn.now() + IDLE_US)
+        self.clients.came(self)
+        self._await(self.born + FIRST_US)
 
     @callback
     def connection_lost(self, error) -> None:
@@ -100,12 +112,21 @@
         self.clients.left(self)
         self.ending = True
         if self.req is not None:
-            req, self.req = self.req, None
+            req = self._release()
             self.clients.dispatch.withdraw(self.turn.now(), req)
 
     def eof_received(self) -> None:
         """The client has gone: the loop closes the transport, and connection_lost does the rest."""
 
+    def pause_writing(self) -> None:
+        """It does not read its answers: it gets no more until it does."""
+        self.clogged = True
+
+    @callback
+    def resume_writing(self) -> None:
+        self.clogged = False
+        self._next()
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -115,12 +136,16 @@
         return self.answering is None and self.message is None and not self.ending
 
     def close(self) -> None:
+        """End it when all that was written has left, or soon."""
         self.ending = True
         self.transport.close()
+        self._await(self.turn.now() + LINGER_US)
 
     @callback
     def data_received(self, data: bytes) -> None:
         if self.ending or self.faulty:
+            self.unread += len(data)
+            self._pause(self.unread > MAX_UNREAD)
             return
         try:
             self.parser.feed_data(data)
@@ -154,6 +179,7 @@
         if len(self.waiting) >= MAX_PIPELINED:
             raise BadMessage(400, "too many requests at once")
         self.message, self.head_bytes = Message(self.turn.now()), 0
+        self.clients.stirred(self)
 
     def on_url(self, url: bytes) -> None:
         self.message.target += url
@@ -162,14 +188,23 @@
         self.head_bytes += len(name) + len(value)
         if self.head_bytes > MAX_HEAD:
             raise BadMessage(431, "the head is too large")
-        self.message.headers[name.lower()] = value
+        name, message = name.lower(), self.message
+        if not message.head:
+            return  # a trailer changes nothing
+        if name in ONCE and name in message.headers:
+            raise BadMessage(400, f"{name.decode()} comes twice")
+        message.headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
-        self.message.method = self.parser.get_method()
-        length = self.message.headers.get(b"content-length", b"0")
+        message = self.message
+        message.method, message.head = self.parser.get_method(), False
+        length = message.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > MAX_BODY:
             raise BadMessage(413, "the body is over 64 KiB")
-        if self.message.headers.get(b"expect", b"").lower() == b"100-continue" and self.answering is None:
+        body = length != b"0" or b"transfer-encoding" in message.headers
+        if body and self.parser.should_upgrade():  # the parser would stop before it
+            raise BadMessage(400, "an offer to upgrade takes no body")
+        if message.headers.get(b"expect", b"").lower() == b"100-continue" and self.answering is None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -185,12 +220,37 @@
     # One message after the other.
 
     def _await(self, until: int) -> None:
-        """Close the session unless it gets on by then."""
+        """End the session unless it gets on by then."""
         self.turn.deadlines.cancel(self.deadline)
-        self.deadline = self.turn.deadlines.add(until, lambda now: self.abort())
+        self.deadline = self.turn.deadlines.add(until, self._late)
+
+    def _pause(self, pause: bool) -> None:
+        if pause != self.paused and not self.transport.is_closing():
+            self.paused = pause
+            (self.transport.pause_reading if pause else self.transport.resume_reading)()
+
+    def _late(self, now: int) -> None:
+        if self.ending:
+            self.abort()
+        elif self.message is not None and not self.faulty:
+            self._reject(BadMessage(408, "the request did not arrive in time"))
+            self._next()
+        else:
+            self.close()
+
+    def _rest(self) -> None:
+        """Wait for what the client sends next."""
+        now = self.turn.now()
+        if self.message is not None:
+            self._await((self.message.began_at + SLOW_US) if self.proven else (self.born + FIRST_US))
+        elif self.proven:
+            self.clients.rested(self)
+            self._await(now + IDLE_US)
+        else:
+            self._await(now + FIRST_US)
 
     def _next(self) -> None:
-        while self.answering is None and self.waiting and not self.ending:
+        while self.answering is None and self.waiting and not self.ending and not self.clogged:
             self.turn.deadlines.cancel(self.deadline)
             self.answering = message = self.waiting.popleft()
             try:
@@ -201,7 +261,9 @@
                 log.exception("callback failed on a req")
                 self._write(500, b"internal error\n")
         if self.answering is None and not self.ending and self.message is not None:
-            self._await(self.message.began_at + SLOW_US)
+            self._rest()
+        if not self.ending:
+            self._pause(bool(self.waiting))  # a client that sends ahead is read no further for now
 
     def _serve(self, message: Message) -> None:
         if message.fault is not None:
@@ -211,6 +273,7 @@
             if message.method != b"GET":
                 raise BadMessage(405, "GET only")
             ready = self.clients.ready()
+            self.clients.prove(self)
             self._write(200 if ready else 503, b"ready\n" if ready else b"not ready\n")
         elif path == b"/api" or path.startswith(b"/api/"):  # without a key the path ends there
             if message.method != b"POST":
@@ -224,8 +287,11 @@
         budget = message.number(b"x-budget-ms")
         if not budget:
             raise BadMessage(400, "bad x-budget-ms")
-        if not message.headers.get(b"x-call-id"):
+        call_id = message.headers.get(b"x-call-id", b"")
+        if not CALL_ID.fullmatch(call_id):
             raise BadMessage(400, "bad x-call-id")
+        if call_id in clients.open_ids:
+            raise BadMessage(409, "a req with this x-call-id is open")
         name = message.headers.get(b"x-call-class", b"").decode("latin-1")
         if name not in clients.classes:
             raise BadMessage(400, "unknown x-call-class")
@@ -235,17 +301,28 @@
             key = int(path[len(b"/api/") :].rpartition(b"/")[2] or b"0", 16) & 0xFFFFFFFFFFFFFFFF
         except ValueError:
             key = 0
-        budget *= 1000
+        budget = min(budget * 1000, clients.deadlines[clients.classes[name]])
         due = message.began_at + budget - min(MARGIN_US, budget // 10)
+        if clients.answer_by:
+            due = min(due, clients.answer_by)
         job = api.RequestArrived(
             0, clients.classes[name], max(0, due - now), figures.get("slots", 1.0),
             figures.get("memory", figures.get("mem", 0.0)), message.number(b"x-call-cost") or 0,
             clients.tenants.get(tenant, len(clients.tenants)), key, message.headers.get(b"x-again") == b"1",
         )  # fmt: skip
+        clients.prove(self)
+        clients.open_ids.add(call_id)
+        self.call_id = call_id
         req = clients.dispatch.arrive(now, self, message, due, job)
         if not req.answered:
             self.req = req
 
+    def _release(self) -> Req | None:
+        """The req is no longer open."""
+        req, self.req = self.req, None
+        self.clients.open_ids.discard(self.call_id)
+        return req
+
     # The final answers, as the core gives them.
 
     def served(self, result: bytes) -> None:
@@ -260,7 +337,7 @@
         self._final(502, b"failed\n")
 
     def _final(self, status: int, body: bytes, more: bytes = b"") -> None:
-        self.req = None
+        self._release()
         self._write(status, body, more)
         if self.waiting:
             self._next()
@@ -277,15 +354,15 @@
         head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s\r\n"
         text = head % (status, REASONS[status].encode(), len(body), more)
         self.transport.write(text if message.method == b"HEAD" else text + body)
-        if message.fault is not None:
+        if message.fault is not None or (last and status < 500 and status != 200):
             self.ending = True
+            self._pause(False)
             self.transport.write_eof()  # closed at once, unread input would reset the answer away
             self._await(self.turn.now() + LINGER_US)
         elif last:
             self.close()
         else:
-            self.clients.rested(self)
-            self._await(self.turn.now() + IDLE_US)
+            self._rest()
 
 
 class Clients:
@@ -295,9 +372,14 @@
         self.turn, self.bound = turn, bound
         self.dispatch: Dispatch | None = None
         self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
+        self.deadlines = [spec.deadline_us for spec in settings.classes]
         self.tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
-        self.sessions: dict[ClientSession, None] = {}  # the one used last comes last
+        self.sessions: set[ClientSession] = set()
+        self.unproven: dict[ClientSession, None] = {}  # no good request yet, the oldest first
+        self.resting: dict[ClientSession, None] = {}  # between requests, the one that rests longest first
+        self.open_ids: set[bytes] = set()
         self.draining = False
+        self.answer_by = 0  # when the platform may kill the node, once it is told to end
         self.port = 0
         self._socket: socket.socket | None = None
         self._accepting = False
@@ -330,45 +412,79 @@
             self.turn.loop.remove_reader(self._socket.fileno())
 
     @callback
-    def _accept(self) -> None:
-        """Take what has come; at the bound an idle session makes room, or the backlog holds the rest."""
-        for _ in range(BACKLOG):
+    def _accept(self) -> bool:
+        """Take some of what has come; False when no more can be taken now."""
+        for _ in range(ACCEPTS):
             if len(self.sessions) + len(self._opening) >= self.bound:
-                idle = next((session for session in self.sessions if session.idle), None)
-                if idle is None:
-                    self._accept_off()
-                    log.warning("client sessions at their bound of %d, new ones wait", self.bound)
-                    return
-                idle.close()
+                self._make_room()
+                return False
             try:
                 sock, _ = self._socket.accept()
             except (BlockingIOError, ConnectionAbortedError):
-                return
+                return False
             except OSError as error:  # no descriptors: accepting goes on when some may be free
                 log.warning("accept failed: %s", error.strerror)
-                self._accept_off()
-                self.turn.deadlines.add(self.turn.now() + ACCEPT_AGAIN_US, self._accept_on)
-                return
+                self._accept_later()
+                return False
             sock.setblocking(False)
             opening = self.turn.loop.connect_accepted_socket(lambda: ClientSession(self), sock)
             task = self.turn.loop.create_task(opening)
             self._opening.add(task)
             task.add_done_callback(self._opened)
+        return True
+
+    def _accept_later(self) -> None:
+        self._accept_off()
+        self.turn.deadlines.add(self.turn.now() + ACCEPT_AGAIN_US, self._accept_on)
+
+    def _make_room(self) -> None:
+        """At the bound those that never sent a good request go first, then those that rest longest.
+
+        Until they have gone, or where none can go, the backlog holds what is new.
+        """
+        before = self.turn.now() - GRACE_US
+        going = [session for session in islice(self.unproven, ACCEPTS) if session.born <= before]
+        for session in going:
+            session.abort()
+        if not going:
+            going = list(islice(self.resting, ACCEPTS))
+            for session in going:
+                session.close()
+                self.resting.pop(session, None)
+        if going:
+            self._accept_off()  # `left` puts it on
+        else:
+            log.warning("client sessions at their bound of %d, new ones wait", self.bound)
+            self._accept_later()
 
     def _opened(self, task: asyncio.Task) -> None:
         self._opening.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.warning("client session did not open: %s", task.exception())
 
+    def came(self, session: ClientSession) -> None:
+        """A session is new: nothing is known of its client."""
+        self.sessions.add(session)
+        self.unproven[session] = None
+
+    def prove(self, session: ClientSession) -> None:
+        """It has sent a good request."""
+        session.proven = True
+        self.unproven.pop(session, None)
+
     def rested(self, session: ClientSession) -> None:
-        """A session is idle: it can make room, those that rest longer before it."""
-        self.sessions.pop(session, None)
-        self.sessions[session] = None
-        self._accept_on()
+        """It is between requests and can make room, those that rest longer before it."""
+        self.resting[session] = None
+
+    def stirred(self, session: ClientSession) -> None:
+        """A request begins to arrive."""
+        self.resting.pop(session, None)
 
     def left(self, session: ClientSession) -> None:
-        """A session has ended: there is room for another."""
-        self.sessions.pop(session, None)
+        """It has ended: there is room for another."""
+        self.sessions.discard(session)
+        self.unproven.pop(session, None)
+        self.resting.pop(session, None)
         self._accept_on()
 
     def abort(self) -> None:
@@ -377,13 +493,13 @@
     # The end of the node.
 
     def drain(self) -> None:
-        """Answers close their sessions from now on, idle ones close at once; accepting goes on."""
+        """Answers close their sessions from now on; accepting goes on."""
         self.draining = True
-        self.close_idle()
 
     def stop_listening(self) -> None:
         """Take what the backlog still holds, then no more."""
-        self._accept()
+        while self._accept():
+            pass
         self._accept_off()
         self._socket.close()
         self._socket = None
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -22,6 +22,10 @@
 OWN_DESCRIPTORS = 24  # the loop's, the log, the listening socket, the director: 14 were counted
 ACCEPT_ON_US = 600_000  # after SIGTERM: new connections come for up to 0.4 s more
 LAST_READ_US = 100_000  # then, for what the sessions taken last have sent to be read
+REST_ON_US = 2_000_000  # after SIGTERM: clients may use once more the sessions that they have
+KILL_US = 700_000  # after SIGTERM and the longest deadline, of which no more counts than:
+KILL_DEADLINE_US = 3_000_000
+KILL_MARGIN_US = 150_000
 CHECK_END_US = 10_000
 
 
@@ -45,6 +49,7 @@
         for adapter in (self.clients, self.backends, self.director):
             adapter.dispatch = self.dispatch
         self.draining = False
+        self.rest_until = 0
 
     def run(self) -> None:
         """Serve until a signal has been obeyed; raises OSError where the address cannot be had."""
@@ -81,15 +86,22 @@
         self.draining = True
         log.info("draining: %d reqs held", self.dispatch.owed)
         self.clients.drain()
-        self.deadlines.add(self.turn.now() + ACCEPT_ON_US, self._stop)
+        now = self.turn.now()
+        self.rest_until = now + REST_ON_US
+        self.deadlines.add(now + ACCEPT_ON_US, self._stop)
         self.turn.end()
 
     def _stop(self, now: int) -> None:
         self.clients.stop_listening()
+        log.info("draining: no new sessions from now on, %d reqs held", self.dispatch.owed)
+        longest = max(spec.deadline_us for spec in self.config.settings.classes)
+        kill = now - ACCEPT_ON_US + KILL_US + min(longest, KILL_DEADLINE_US)
+        self.clients.answer_by = kill - KILL_MARGIN_US
         self.deadlines.add(now + LAST_READ_US, self._end_if_done)
 
     def _end_if_done(self, now: int) -> None:
-        self.clients.close_idle()
+        if now >= self.rest_until:
+            self.clients.close_idle()
         if self.dispatch.owed == 0 and self.clients.all_gone():
             self.loop.stop()
         else:
