--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -22,7 +22,6 @@
 OWN_DESCRIPTORS = 24  # the loop's, the log, the listening socket, the director: 14 were counted
 ACCEPT_ON_US = 600_000  # after SIGTERM: new connections come for up to 0.4 s more
 LAST_READ_US = 100_000  # then, for what the sessions taken last have sent to be read
-REST_ON_US = 2_000_000  # after SIGTERM: clients may use once more the sessions that they have
 KILL_US = 700_000  # after SIGTERM and the longest deadline, of which no more counts than:
 KILL_DEADLINE_US = 3_000_000
 KILL_MARGIN_US = 150_000
@@ -49,7 +48,6 @@
         for adapter in (self.clients, self.backends, self.director):
             adapter.dispatch = self.dispatch
         self.draining = False
-        self.rest_until = 0
 
     def run(self) -> None:
         """Serve until a signal has been obeyed; raises OSError where the address cannot be had."""
@@ -86,9 +84,7 @@
         self.draining = True
         log.info("draining: %d reqs held", self.dispatch.owed)
         self.clients.drain()
-        now = self.turn.now()
-        self.rest_until = now + REST_ON_US
-        self.deadlines.add(now + ACCEPT_ON_US, self._stop)
+        self.deadlines.add(self.turn.now() + ACCEPT_ON_US, self._stop)
         self.turn.end()
 
     def _stop(self, now: int) -> None:
@@ -100,8 +96,7 @@
         self.deadlines.add(now + LAST_READ_US, self._end_if_done)
 
     def _end_if_done(self, now: int) -> None:
-        if now >= self.rest_until:
-            self.clients.close_idle()
+        self.clients.close_idle()
         if self.dispatch.owed == 0 and self.clients.all_gone():
             self.loop.stop()
         else:
