Block signals until the loop runs: one that came right after the start was lost

The test of late reqs in a drain failed once in a full run: SIGTERM sent right after `serves on` was never seen, the log shows the node alive 3.5 s later. uvloop hears of signals only once run_forever has begun, and the line was logged before that (node.py, run). The signals are now blocked from the first line of main until the loop runs, and the line is logged from the loop.

--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -26,6 +26,7 @@
 KILL_DEADLINE_US = 3_000_000
 KILL_MARGIN_US = 150_000
 CHECK_END_US = 10_000
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class Node:
@@ -51,18 +52,22 @@
 
     def run(self) -> None:
         """Serve until a signal has been obeyed; raises OSError where the address cannot be had."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self._drain)
-        self.loop.add_signal_handler(signal.SIGHUP, self._reload)
+        for number in SIGNALS:
+            self.loop.add_signal_handler(number, self._reload if number == signal.SIGHUP else self._drain)
         self.clients.listen(self.config.listen)
         self.director.first(self.config.known)
-        log.info("node %s serves on %s port %d", self.config.name, self.config.listen.host, self.clients.port)
+        self.loop.call_soon(self._started)
         gc.collect()
         gc.freeze()
         self.turn.end()
         self.loop.run_forever()
         log.info("node %s has ended", self.config.name)
 
+    def _started(self) -> None:
+        """The loop runs: only now does it hear of signals, those that came before included."""
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        log.info("node %s serves on %s port %d", self.config.name, self.config.listen.host, self.clients.port)
+
     def _reload(self) -> None:
         """Take up a new configuration; one that cannot be used changes nothing."""
         if self.draining:
@@ -109,6 +114,7 @@
 
 def main() -> int:
     """Start the node that the environment describes."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # till the loop runs
     handler = logging.StreamHandler(sys.stderr)
     handler.addFilter(Sparing())
     form = "%(asctime)s %(levelname)s %(message)s"
