--- a/cedarmill/brain.py
+++ b/cedarmill/brain.py
@@ -47,7 +47,7 @@
         self.busy = [1.0 / settings.instances, 1.0]  # slots held at a worker: by own jobs, by all
         self.means = [[float(spec.aim_us), math.log(spec.aim_us), 0] for spec in settings.classes]
         self.loads = [(0.0, 0)] * len(settings.tenants)
-        self.idle, self.run = 1.0, self.means[0][0]  # means over all workers
+        self.errors, self.idle, self.run = 0.0, 1.0, self.means[0][0]  # means over all workers
         columns = {name: n for n, name in enumerate(settings.report_fields)}
         self.slots_at, self.memory_at = columns.get("free_slots", -1), columns.get("free_memory", -1)
         self.left: list[Worker] = []  # where own jobs ended last
@@ -258,6 +258,7 @@
         """Error share, a failure counting so many times, and running time against the class elsewhere."""
         worker, request = attempt.worker, attempt.request
         worker.errors += (bool(failed) - worker.errors) / MEMORY * (failed or 1)
+        self.errors += (bool(failed) - self.errors) / (8 * MEMORY)
         if not failed:
             worker.strikes = 0
             mean = self.means[request.index]
@@ -268,7 +269,8 @@
             mean[:] = mean[0] + (ran - mean[0]) / count, mean[1] + (log - mean[1]) / count, count
             self.run += (ran - self.run) / (4 * MEMORY)
             worker.pace += (log - mean[1] - worker.pace) / MEMORY
-        worker.health = (1.001 - worker.errors) ** 3 * math.exp(-max(0.0, worker.pace))
+        errors = max(0.0, worker.errors - self.errors)  # what befalls all says nothing of one
+        worker.health = (1.001 - errors) ** 3 * math.exp(-max(0.0, worker.pace))
 
     def _probed(self, event: api.ProbeEnded) -> None:
         if (worker := self.workers.get(event.worker)) is None:
