Advise a return within the job's slack, and end cuts that make no room where starts go untold

The share of cuts that pay (pays) was learned from start notices only, which do not exist here, so it stayed at its first value for ever.

Now the advice is a quarter of what the job's aim leaves beside its run, so that two retries fit into it, and where starts go untold the run of the job in the place of a cut one tells whether it had to wait.

--- a/cedarmill/brain.py
+++ b/cedarmill/brain.py
@@ -29,6 +29,7 @@
 ASK = 2  # workers probed at once for a job that sees no fresh idle slot
 ASK_WAIT = 0.06  # connect time-outs that it waits for their answers
 FRESH = 0.5  # mean running times for which news of a worker are believed without asking it again
+BACK = 0.25  # of a job's slack, after which a refused client may come back
 FADE = 8.0  # mean running times in which they fade into the mean; in 3 times that nothing is left of them
 
 
@@ -93,6 +94,11 @@
             worker.lowered_at = self.now
             worker.waiting *= WAITING_DOWN
 
+    def _slack(self, request: Request) -> float:
+        """What its aim leaves to a job beside its run, by its hint."""
+        ran = request.hint_us or self.means[request.index][0]
+        return request.spec.aim_us + max(0.0, request.spec.aim_stretch - 1) * ran
+
     def _room(self, worker: Worker, request: Request) -> tuple[float, float]:
         """Idle slots, and slots with waiting places, where the job fits into them (0: it does not)."""
         if worker.ghosts:  # a worker that sends no reports must not stay full of ghosts
@@ -139,7 +145,7 @@
         left = request.deadline - self.now - 2 * self.settings.tick_us
         tried = len(request.attempts) >= self.settings.max_attempts or request.spec.effect == Effect.UNSAFE
         if self._may_refuse(request):
-            advice = int(self.means[request.index][0] / (1 + len(self.requests)))
+            advice = int(BACK * self._slack(request))  # clients come back once or twice
             self._finish(request, api.Refuse(request.id, min(advice, self.settings.max_retry_after_us)))
         elif tried or left <= 0:
             self._finish(request, api.Fail(request.id))
@@ -265,6 +271,9 @@
             ran = max(1, self.now - (attempt.started or attempt.sent))
             if not self.settings.tells_start:
                 self._adapt(worker, ran - mean[0], request.spec.aim_us)
+                if attempt.after_cut:  # against its hint: whether it waited for work that goes on
+                    wait = ran - math.exp(mean[1]) * (request.hint_us or 1)
+                    self.pays += ((wait <= WAIT_SEEN * request.spec.aim_us) - self.pays) * 2 / MEMORY
             log, count = math.log(ran / (request.hint_us or 1)), min(mean[2] + 1, 20 * MEMORY)
             mean[:] = mean[0] + (ran - mean[0]) / count, mean[1] + (log - mean[1]) / count, count
             self.run += (ran - self.run) / (4 * MEMORY)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,11 +1,13 @@
 """Decisions of the brain, driven by hand-made events."""
 
 import math
+from dataclasses import replace
 
 import pytest
 from helpers import SAFE, UNSAFE, Driver, entry, keyed, kinds, sends
 
 from cedarmill import interface as api
+from cedarmill.brain import PAYS_FLOOR
 from cedarmill.interface import Effect, Group, Outcome, WorkerState
 
 
@@ -124,6 +126,37 @@
     assert 0 < cuts <= 4
 
 
+def test_cuts_end_where_starts_go_untold_and_the_job_in_place_is_late():
+    """Without start notices nothing told that cancelled work goes on: each cut lost a job for nothing."""
+    d = Driver(workers=1, tells_start=False)
+    d.report(1, 1)
+    fill(d, 1)
+    assert kinds(past_room(d, 1)) == ["Cancel", "Send"]
+    d.now += 3_000_000
+    d.end(d.requests, 1, Outcome.OK)
+    assert d.brain.pays < PAYS_FLOOR
+
+
+@pytest.mark.parametrize("hint", [100_000, 1_000_000])
+def test_a_refused_client_comes_back_while_its_job_can_be_in_time(hint):
+    """Advice of some 30 ms used up a client's two retries in 75 ms, with the pool as full as before."""
+    d = Driver(replace(SAFE, aim_stretch=2.0), workers=1, max_retry_after_us=2_000_000)
+    d.report(1, 1)
+    fill(d, 1)
+    refusal = d.arrive(0, hint_us=hint)[0]
+    assert refusal.retry_after_us == (SAFE.aim_us + hint) / 4
+
+
+def test_failures_that_befall_all_leave_no_worker_out():
+    """Where all workers break a part of their connections, most were distrusted at the same time."""
+    d = Driver(workers=4)
+    for n in range(400):
+        to = sends(d.arrive(1, left=60_000_000))
+        if to:
+            d.end(d.requests, to[0].worker, Outcome.RESET if n % 5 == 0 else Outcome.OK)
+    assert min(worker.health for worker in d.brain.workers.values()) > 0.5
+
+
 def test_places_to_wait_are_fewer_for_lower_worth_and_idle_slots_are_not():
     """Where cuts free nothing, this alone keeps the lowest worth the first to be shed."""
     d = Driver(workers=1)
