Learn slots from free ones only where starts go untold; let twice as many jobs wait

All reports showed at most 2 free.

Now only free slots raise what is believed of a backend there, and the places to wait may grow to twice the slots.

--- a/cedarmill/brain.py
+++ b/cedarmill/brain.py
@@ -15,6 +15,7 @@
 WAITING_START = 0.5  # places to wait at a worker at first, jobs
 LOW = 0.5  # part of the waiting places open to a job of no worth; all of them to the highest
 WAITING_UP = 0.1  # waiting places a worker gains for each prompt start (additive increase), jobs
+WAITING_MOST = 2.0  # times its slots
 WAITING_DOWN = 0.75  # factor on them at a refusal or a late start (multiplicative decrease)
 WAIT_SEEN = 0.25  # of the aim: one of our jobs waiting this long shows that a worker has no free slot
 MEMORY = 12  # samples that the means of a worker remember
@@ -79,7 +80,9 @@
         if self.slots_at >= 0:
             free = report[self.slots_at]
             worker.base = (own := sum(r.slots for r in ran)) + math.floor(free + 0.5)
-            worker.slots = max(worker.slots, worker.base)
+            # where starts go untold, own jobs that wait look like slots: only free ones are sure
+            sure = worker.base if self.settings.tells_start else math.floor(free + 0.5)
+            worker.slots = max(worker.slots, sure)
             held = own, worker.slots - free
             self.idle += (free / worker.size - self.idle) / (2 * MEMORY)
             self.busy = [b + (h - b) / (8 * MEMORY) for b, h in zip(self.busy, held, strict=True)]
@@ -89,7 +92,8 @@
     def _adapt(self, worker: Worker, wait: float, aim: int) -> None:
         """Waiting places grow with prompt starts, and fall once for each congestion."""
         if wait <= aim / 2:  # where no reports come, nothing else tells c: no bound then
-            worker.waiting = min(worker.waiting + WAITING_UP, worker.slots if worker.report else math.inf)
+            most = WAITING_MOST * worker.slots if worker.report else math.inf
+            worker.waiting = min(worker.waiting + WAITING_UP, most)
         elif wait > aim and self.now - worker.lowered_at > self.settings.connect_timeout_us:
             worker.lowered_at = self.now
             worker.waiting *= WAITING_DOWN
