Make the test of learned slots fail without its change

As committed before, two of its four jobs were refused, so none waited and the old code passed as well. All four are sent now; the old code believes in 4 slots and fails.

--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -286,8 +286,9 @@
     """Slots grew to 5 and 6 where there are 2, and 4 to 6 jobs were sent there while others stood idle."""
     d = Driver(workers=1, tells_start=False)
     d.report(1, 2)
+    d.brain.workers[1].waiting = 4.0
     for _ in range(4):
-        d.arrive(1)
+        assert sends(d.arrive(1))
     d.report(1, 0)
     assert d.brain.workers[1].slots == 2
 
