Serve on for 0.6 s after SIGTERM before answers say Connection: close

A trace shows that with answers closing their sessions from the signal on (clients.py, _write) arrivals end 0.34 s after SIGTERM; with sessions left as they are they go on until the listening socket closes, at 0.6 s, and no longer, also when resting sessions stay open for 2.2 s. So the close comes with the end of accepting; before it a client sent away would come back to the same node.

--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -348,7 +348,7 @@
         message, self.answering = self.answering, None
         if self.ending:
             return
-        last = not message.keep_alive or self.clients.draining
+        last = not message.keep_alive or self.clients.closing
         if last:
             more += b"Connection: close\r\n"
         if status == 405:
@@ -380,7 +380,7 @@
         self.unproven: dict[ClientSession, None] = {}  # no good request yet, the oldest first
         self.resting: dict[ClientSession, None] = {}  # between requests, the one that rests longest first
         self.open_ids: set[bytes] = set()
-        self.draining = False
+        self.draining = self.closing = False
         self.answer_by = 0  # when the platform may kill the node, once it is told to end
         self.port = 0
         self._socket: socket.socket | None = None
@@ -495,11 +495,12 @@
     # The end of the node.
 
     def drain(self) -> None:
-        """Answers close their sessions from now on; accepting goes on."""
+        """`/ready` says no; sessions serve on, as a client sent away now may find no other node."""
         self.draining = True
 
     def stop_listening(self) -> None:
-        """Take what the backlog still holds, then no more."""
+        """Take what the backlog still holds, then no more; from now on an answer closes its session."""
+        self.closing = True
         while self._accept():
             pass
         self._accept_off()
