--- a/cedarmill/brain.py
+++ b/cedarmill/brain.py
@@ -15,7 +15,6 @@
 WAITING_START = 0.5  # places to wait at a worker at first, jobs
 LOW = 0.5  # part of the waiting places open to a job of no worth; all of them to the highest
 WAITING_UP = 0.1  # waiting places a worker gains for each prompt start (additive increase), jobs
-WAITING_MOST = 2.0  # times its slots
 WAITING_DOWN = 0.75  # factor on them at a refusal or a late start (multiplicative decrease)
 WAIT_SEEN = 0.25  # of the aim: one of our jobs waiting this long shows that a worker has no free slot
 MEMORY = 12  # samples that the means of a worker remember
@@ -92,8 +91,7 @@
     def _adapt(self, worker: Worker, wait: float, aim: int) -> None:
         """Waiting places grow with prompt starts, and fall once for each congestion."""
         if wait <= aim / 2:  # where no reports come, nothing else tells c: no bound then
-            most = WAITING_MOST * worker.slots if worker.report else math.inf
-            worker.waiting = min(worker.waiting + WAITING_UP, most)
+            worker.waiting = min(worker.waiting + WAITING_UP, worker.slots if worker.report else math.inf)
         elif wait > aim and self.now - worker.lowered_at > self.settings.connect_timeout_us:
             worker.lowered_at = self.now
             worker.waiting *= WAITING_DOWN
