--- a/cedarmill/__init__.py
+++ b/cedarmill/__init__.py
@@ -1,6 +1,6 @@
 """Dispatcher decisions by a preemptive connection pool."""
 
-from cedarmill.brain import Brain
-from cedarmill.interface import Settings
+from cedarmill.decisions.brain import Brain
+from cedarmill.decisions.interface import Settings
 
 __all__ = ["Brain", "Settings"]
--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from cedarmill import interface as api
-from cedarmill.brain import Brain
 from cedarmill.core.deadlines import Deadline, Deadlines
-from cedarmill.interface import Outcome
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.brain import Brain
+from cedarmill.decisions.interface import Outcome
 
 log = logging.getLogger("cedarmill")
 
--- a/cedarmill/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -1,4 +1,4 @@
-"""Every decision of a dispatcher; its settings, events and actions are in cedarmill/interface.py.
+"""Every decision of a dispatcher; its settings, events and actions are in cedarmill/decisions/interface.py.
 
 The mechanism is Zhao's preemptive connection pool: jobs enter in order of arrival while the pool of
 slots has room; when it is full, a job of higher worth cuts lower ones on one worker or is refused."""
@@ -7,9 +7,9 @@
 from itertools import islice
 from random import Random
 
-from cedarmill import interface as api
-from cedarmill.interface import Effect, Group, ListKind, Outcome, WorkerState
-from cedarmill.state import Attempt, Pools, Request, Worker
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.interface import Effect, Group, ListKind, Outcome, WorkerState
+from cedarmill.decisions.state import Attempt, Pools, Request, Worker
 
 # Tunables. Times are multiples of a setting (a class's aim, the connect time-out) or of learned means.
 WAITING_START = 0.5  # places to wait at a worker at first, jobs
--- a/cedarmill/settings.py
+++ b/cedarmill/decisions/settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cedarmill.interface import Settings
+from cedarmill.decisions.interface import Settings
 
 _EFFECTS = {"free": "safe", "guarded": "keyed", "single_shot": "unsafe"}
 _FIELDS = {
--- a/cedarmill/state.py
+++ b/cedarmill/decisions/state.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
-from cedarmill import interface as api
+from cedarmill.decisions import interface as api
 
 
 @dataclass(slots=True, eq=False)
--- a/cedarmill/net/backends.py
+++ b/cedarmill/net/backends.py
@@ -7,10 +7,10 @@
 import httptools
 import msgspec
 
-from cedarmill import interface as api
 from cedarmill.core.deadlines import Deadline
 from cedarmill.core.dispatch import Attempt, Dispatch
-from cedarmill.interface import Outcome
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.interface import Outcome
 from cedarmill.net.config import Address, Endpoint
 from cedarmill.net.turn import Turn, callback
 
--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -10,8 +10,8 @@
 
 import httptools
 
-from cedarmill import interface as api
 from cedarmill.core.dispatch import Dispatch, Req
+from cedarmill.decisions import interface as api
 from cedarmill.net.config import Address
 from cedarmill.net.turn import Turn, callback
 
--- a/cedarmill/net/config.py
+++ b/cedarmill/net/config.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from cedarmill import interface as api
-from cedarmill.settings import from_operator
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.settings import from_operator
 
 _STATES = {
     "SERVING": api.WorkerState.READY,
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/director.py
@@ -6,8 +6,8 @@
 import httptools
 import msgspec
 
-from cedarmill import interface as api
 from cedarmill.core.dispatch import Dispatch
+from cedarmill.decisions import interface as api
 from cedarmill.net.backends import Backends
 from cedarmill.net.config import Address, Listing, ListReader
 from cedarmill.net.turn import Turn, callback
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -9,9 +9,9 @@
 
 import uvloop
 
-from cedarmill.brain import Brain
 from cedarmill.core.deadlines import Deadlines
 from cedarmill.core.dispatch import Dispatch
+from cedarmill.decisions.brain import Brain
 from cedarmill.net.backends import Backends
 from cedarmill.net.clients import Clients
 from cedarmill.net.config import Config, ConfigError
--- a/cedarmill/simhost.py
+++ b/cedarmill/sim/simhost.py
@@ -3,8 +3,8 @@
 import sys
 from typing import BinaryIO
 
-from cedarmill import wire
-from cedarmill.brain import Brain
+from cedarmill.decisions.brain import Brain
+from cedarmill.sim import wire
 
 
 def _read(stream: BinaryIO, size: int) -> bytes:
--- a/cedarmill/wire.py
+++ b/cedarmill/sim/wire.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from cedarmill import interface as api
-from cedarmill.settings import from_operator
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.settings import from_operator
 
 HEADER = struct.Struct(">IIQ")
 REPLY = struct.Struct(">II")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """Small builders shared by the tests: settings, events, a brain that is driven by hand."""
 
-from cedarmill import interface as api
-from cedarmill.brain import Brain
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.brain import Brain
 
 SAFE = api.JobClass("s", 1.0, 200_000, 5_000_000, api.Effect.SAFE)
 UNSAFE = api.JobClass("u", 5.0, 200_000, 5_000_000, api.Effect.UNSAFE)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -6,9 +6,9 @@
 import pytest
 from helpers import SAFE, UNSAFE, Driver, entry, keyed, kinds, sends
 
-from cedarmill import interface as api
-from cedarmill.brain import PAYS_FLOOR
-from cedarmill.interface import Effect, Group, Outcome, WorkerState
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.brain import PAYS_FLOOR
+from cedarmill.decisions.interface import Effect, Group, Outcome, WorkerState
 
 
 def fill(d: Driver, worker: int, job_class: int = 0) -> list[int]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,10 +6,10 @@
 
 from helpers import entry, keyed, settings
 
-from cedarmill import interface as api
 from cedarmill.core.deadlines import Deadlines
 from cedarmill.core.dispatch import Dispatch
-from cedarmill.interface import Group, Outcome
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.interface import Group, Outcome
 from cedarmill.net.config import Endpoint, ListReader
 
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-BRAIN = (ROOT / "cedarmill/brain.py").read_text()
+BRAIN = (ROOT / "cedarmill/decisions/brain.py").read_text()
 
 
 def test_size_and_width():
@@ -17,7 +17,7 @@
 
 
 def test_first_lines_name_the_interface():
-    assert "cedarmill/interface.py" in "\n".join(BRAIN.splitlines()[:3])
+    assert "cedarmill/decisions/interface.py" in "\n".join(BRAIN.splitlines()[:3])
 
 
 def test_imports_are_pure():
@@ -27,7 +27,8 @@
             names |= {alias.name for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
             names.add(node.module)
-    assert names <= {"itertools", "math", "random", "cedarmill", "cedarmill.interface", "cedarmill.state"}
+    own = {"cedarmill.decisions", "cedarmill.decisions.interface", "cedarmill.decisions.state"}
+    assert names <= own | {"itertools", "math", "random"}
 
 
 def test_no_input_but_the_events():
@@ -43,8 +44,8 @@
 
 def test_deploy_file():
     deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
-    assert deploy["policy"] == ["cedarmill/brain.py"]
-    assert "cedarmill.simhost" in deploy["sim"]
+    assert deploy["policy"] == ["cedarmill/decisions/brain.py"]
+    assert "cedarmill.sim.simhost" in deploy["sim"]
 
 
 def test_ruff():
--- a/tests/test_sequences.py
+++ b/tests/test_sequences.py
@@ -6,9 +6,9 @@
 import pytest
 from helpers import SAFE, UNSAFE, entry, keyed, settings
 
-from cedarmill import interface as api
-from cedarmill.brain import Brain
-from cedarmill.interface import Effect, Group, Outcome
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.brain import Brain
+from cedarmill.decisions.interface import Effect, Group, Outcome
 
 CLASSES = (SAFE, UNSAFE, keyed(Group.ALL), keyed(Group.ZONE), keyed(Group.CELL))
 SURE_NOT_RUN = {Outcome.FULL, Outcome.CONNECT_FAILED}
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,8 +11,8 @@
 import pytest
 from helpers import settings
 
-from cedarmill import interface as api
-from cedarmill import simhost, wire
+from cedarmill.decisions import interface as api
+from cedarmill.sim import simhost, wire
 
 ROOT = Path(__file__).parent.parent
 ACCEPT = "041a000300048d4b5d3a91c43fc0000000002ee04000000091f03b7c55d20a6401000000000000" "0003a980"
@@ -208,7 +208,7 @@
 
 def _process(data: bytes, seed: str) -> subprocess.CompletedProcess:
     env = {**os.environ, "PYTHONHASHSEED": seed, "PYTHONDONTWRITEBYTECODE": "1"}
-    command = [sys.executable, "-m", "cedarmill.simhost"]
+    command = [sys.executable, "-m", "cedarmill.sim.simhost"]
     return subprocess.run(command, input=data, cwd=ROOT, env=env, capture_output=True, timeout=60)
 
 
