Stop all work for clients that have left, and account what is spent for nobody

Change: on leaving, attempts whose last byte is still here are told as never sent (they were told as cancelled, so an unsafe one counted as run and its slots as ghosts), probes that have not gone out are taken back; probes name the req they are for. Backends by kind: blind (as before), close, end, none; a backend may be a node. The log's events have fixed names and fields in cedarmill/log.py, the words stay. Defaults are the platform's.

Ruled out: keeping the ledger in the brain, it would count what never left.

--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -4,17 +4,17 @@
 microseconds of the caller's clock; no protocol is known here, so any can be put in front.
 """
 
-import logging
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from cedarmill.budget import machine as budgets
 from cedarmill.core.deadlines import Deadline, Deadlines
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.brain import Brain
 from cedarmill.decisions.interface import Outcome
-
-log = logging.getLogger("cedarmill")
+from cedarmill.log import say
+from cedarmill.values import DeadlineOptions
 
 
 class ClientPort(Protocol):
@@ -26,11 +26,16 @@
 
 
 class BackendPort(Protocol):
-    """Carries attempts and probes; each comes back once through `ended` or `probed`."""
+    """Carries attempts and probes; each comes back once through `ended` or `probed`.
+
+    `cancel` tells whether the attempt is over here; False: it cannot be cancelled and goes on till its real
+    end, unless `now_or_never`. `recall` takes a probe back that has not gone out.
+    """
 
     def send(self, attempt: "Attempt") -> None: ...
-    def cancel(self, attempt: "Attempt") -> None: ...
-    def probe(self, worker: int) -> None: ...
+    def cancel(self, attempt: "Attempt", now_or_never: bool = False) -> bool: ...
+    def probe(self, probe: "Probe") -> None: ...
+    def recall(self, probe: "Probe") -> None: ...
 
 
 class DirectorPort(Protocol):
@@ -39,14 +44,26 @@
     def watch(self) -> None: ...
 
 
+class Nobody:
+    """The client port of who has left, where work is set to go on all the same."""
+
+    def served(self, result: Any) -> None: ...
+    def refused(self, retry_after_us: int) -> None: ...
+    def failed(self) -> None: ...
+
+
 class Req:
     """One req that the node has taken."""
 
-    __slots__ = ("id", "client", "payload", "due", "spec", "attempts", "answered", "deadline")
+    __slots__ = ("id", "client", "payload", "due", "spec", "claim", "attempts", "probes", "answered",
+                 "deadline")  # fmt: skip
 
-    def __init__(self, number: int, client: ClientPort, payload: Any, due: int, spec: api.JobClass) -> None:
-        self.id, self.client, self.payload, self.due, self.spec = number, client, payload, due, spec
+    def __init__(self, number: int, client: ClientPort, payload: Any, spec: api.JobClass,
+                 claim: budgets.Claim) -> None:  # fmt: skip
+        self.id, self.client, self.payload, self.spec = number, client, payload, spec
+        self.claim, self.due = claim, claim.due
         self.attempts: list[Attempt] = []
+        self.probes: list[Probe] = []  # asked for its sake, not yet answered
         self.answered = False
         self.deadline: Deadline | None = None
 
@@ -54,20 +71,34 @@
 class Attempt:
     """One attempt of a req; `link` belongs to the backend port."""
 
-    __slots__ = ("req", "number", "worker", "sent_at", "outcome", "link")
+    __slots__ = ("req", "number", "worker", "sent_at", "outcome", "link", "written", "blind")
 
     def __init__(self, req: Req, number: int, worker: int, now: int) -> None:
         self.req, self.number, self.worker, self.sent_at = req, number, worker, now
         self.outcome: Outcome | None = None
         self.link: Any = None
+        self.written = False  # whether its last byte has left: only then may it run
+        self.blind = True  # whether a cancel's effect at the backend stays unknown; the port knows
+
+
+class Probe:
+    """One probe, and the req for whose sake it was asked, if any; `link` belongs to the backend port."""
+
+    __slots__ = ("worker", "req", "written", "link")
+
+    def __init__(self, worker: int, req: Req | None) -> None:
+        self.worker, self.req = worker, req
+        self.written = False
+        self.link: Any = None
 
 
 class Dispatch:
     """The reqs of a node, between the brain and the ports."""
 
-    def __init__(self, brain: Brain, deadlines: Deadlines, backends: BackendPort,
-                 director: DirectorPort) -> None:  # fmt: skip
+    def __init__(self, brain: Brain, deadlines: Deadlines, backends: BackendPort, director: DirectorPort,
+                 budget: budgets.Budget | None = None) -> None:  # fmt: skip
         self.brain, self.deadlines = brain, deadlines
+        self.budget = budget or budgets.Budget(DeadlineOptions(), len(brain.settings.classes))
         self.backends, self.director = backends, director
         self.reqs: dict[int, Req] = {}
         self.owed = 0  # reqs without their final answer
@@ -78,8 +109,8 @@
         self._actions: dict[type, Callable[[int, Any], None]] = {
             api.Send: self._send,
             api.Cancel: self._cancel,
-            api.Refuse: lambda now, a: self._answer(a.request, "refused", a.retry_after_us),
-            api.Fail: lambda now, a: self._answer(a.request, "failed"),
+            api.Refuse: lambda now, a: self._answer(now, a.request, "refused", a.retry_after_us),
+            api.Fail: lambda now, a: self._answer(now, a.request, "failed"),
             api.SetTimer: self._set_timer,
             api.Probe: self._probe,
             api.Subscribe: self._subscribe,
@@ -91,18 +122,45 @@
         """Take a req; `job` describes it, its number is given here."""
         self._count += 1
         job.request = self._count
-        req = Req(self._count, client, payload, due, self.brain.settings.classes[job.job_class])
+        claim = budgets.Claim(job.job_class, job.slots, due)
+        req = Req(self._count, client, payload, self.brain.settings.classes[job.job_class], claim)
         self.reqs[req.id] = req
         self.owed += 1
         req.deadline = self.deadlines.add(due, lambda at: self._overdue(at, req))
-        self._tell(now, job, req)
+        if self.budget.step(now, budgets.Arrived(claim)):  # hopeless: nothing has begun, no is harmless
+            self._answer(now, req.id, "refused", 0)
+        else:
+            self._tell(now, job, req)
         return req
 
     def withdraw(self, now: int, req: Req) -> None:
-        """The client has gone: nothing is owed any longer."""
-        if not req.answered:
-            self._close(req)
-            self._tell(now, api.RequestWithdrawn(req.id), req)
+        """The client has gone: nothing is owed any longer, and nothing more starts for it."""
+        if req.answered:
+            return
+        if self.budget.options.on_leave == "ignore":
+            req.client = Nobody()
+            return
+        unwritten = tuple(a.number for a in req.attempts if a.outcome is None and not a.written)
+        recalls = self.budget.step(now, budgets.Left(req.claim, unwritten))
+        self._close(req)
+        for recall in recalls:
+            self._give_up(now, req.attempts[recall.number], Outcome.MOOT)
+        for probe in [probe for probe in req.probes if not probe.written]:
+            self._recall(now, probe)
+        self._tell(now, api.RequestWithdrawn(req.id), req)
+
+    def _recall(self, now: int, probe: Probe) -> None:
+        try:
+            self.backends.recall(probe)
+        except Exception:
+            say("defect", True, what="recall")
+        self.probed(now, probe, Outcome.MOOT)
+
+    def written(self, now: int, attempt: Attempt) -> None:
+        """Its last byte has left: from now on it may run."""
+        if not attempt.written and attempt.outcome is None:
+            attempt.written = True
+            self.budget.step(now, budgets.Written(attempt.req.claim, attempt.number))
 
     def ended(self, now: int, attempt: Attempt, outcome: Outcome, report: api.LoadReport | None = None,
               result: Any = None) -> None:  # fmt: skip
@@ -110,8 +168,10 @@
         if attempt.outcome is not None:
             return
         attempt.outcome, req = outcome, attempt.req
+        blind = attempt.blind and outcome in (Outcome.CANCELLED, Outcome.TIMEOUT)
+        self.budget.step(now, budgets.Ended(req.claim, attempt.number, outcome, blind))
         if outcome == Outcome.OK:
-            self._answer(req.id, "served", result)
+            self._answer(now, req.id, "served", result)
         event = api.AttemptEnded(req.id, attempt.number, attempt.worker, outcome, req.answered, report)
         self._tell(now, event, req)
         self._forget(req)
@@ -125,9 +185,11 @@
         event = api.AttemptProgress(attempt.req.id, attempt.number, attempt.worker, done)
         self._tell(now, event, attempt.req)
 
-    def probed(self, now: int, worker: int, outcome: Outcome, report: api.LoadReport | None = None) -> None:
+    def probed(self, now: int, probe: Probe, outcome: Outcome, report: api.LoadReport | None = None) -> None:
         """The result of one probe."""
-        self._tell(now, api.ProbeEnded(worker, outcome, report))
+        if probe.req is not None and probe in probe.req.probes:
+            probe.req.probes.remove(probe)
+        self._tell(now, api.ProbeEnded(probe.worker, outcome, report))
 
     def listed(self, now: int, news: api.WorkerList) -> None:
         """News of the director's list."""
@@ -142,7 +204,7 @@
     def may_write(self, now: int, attempt: Attempt) -> bool:
         """Whether an attempt may still be sent: it can outlive its right while it waits to connect."""
         req = attempt.req
-        if attempt.outcome is not None or req.answered or now >= req.due:
+        if attempt.outcome is not None or not self.budget.may_start(now, req.claim):
             return False
         if attempt.worker not in self.listed_ready:  # drains or is gone since the brain chose it
             return False
@@ -150,6 +212,10 @@
         guarded = req.spec.effect == api.Effect.KEYED
         return not guarded or all(now < a.sent_at + req.spec.repeat_window_us for a in ran)
 
+    def may_probe(self, probe: Probe) -> bool:
+        """Whether a probe may still be written: not for a client's sake alone that has left."""
+        return probe.req is None or probe.req.claim.state is not budgets.State.LEFT
+
     # Brain.
 
     def _tell(self, now: int, event: api.Event, req: Req | None = None) -> None:
@@ -169,54 +235,71 @@
         try:
             actions = self.brain.handle(now, event)
         except Exception:
-            log.exception("brain failed on %s", type(event).__name__)
+            say("defect", True, what=f"brain on {type(event).__name__}")
             actions = []
             if req is not None and not req.answered:  # it may never hear of this req again
-                self._answer(req.id, "failed")
+                self._answer(now, req.id, "failed")
                 self._events.append((api.RequestWithdrawn(req.id), req))
         for action in actions:
             try:
                 self._actions[type(action)](now, action)
             except Exception:
-                log.exception("action %s failed", type(action).__name__)
+                say("defect", True, what=f"action {type(action).__name__}")
 
     def _send(self, now: int, action: api.Send) -> None:
         req = self.reqs[action.request]
         attempt = Attempt(req, len(req.attempts), action.worker, now)
         req.attempts.append(attempt)
-        if req.answered or now >= req.due or attempt.number >= self.brain.settings.max_attempts:
+        if attempt.number >= self.brain.settings.max_attempts or not self.budget.may_start(now, req.claim):
+            self.ended(now, attempt, Outcome.MOOT)
+            return
+        if not self.budget.worth_starting(now, req.claim):
+            ran = any(a.outcome not in api.NEVER_RAN for a in req.attempts if a is not attempt)
+            self._answer(now, req.id, *(("failed",) if ran else ("refused", 0)))
             self.ended(now, attempt, Outcome.MOOT)
             return
         try:
             self.backends.send(attempt)
         except Exception:
-            log.exception("send failed")
+            say("defect", True, what="send")
             self.ended(now, attempt, Outcome.RESET)  # how far it came is not known
 
     def _cancel(self, now: int, action: api.Cancel) -> None:
         req = self.reqs.get(action.request)
-        if req is not None and req.attempts[action.attempt].outcome is None:
-            self._give_up(now, req.attempts[action.attempt], Outcome.CANCELLED)
+        if req is None or (attempt := req.attempts[action.attempt]).outcome is not None:
+            return
+        self.budget.step(now, budgets.Cut(req.claim, attempt.number))
+        self._give_up(now, attempt, Outcome.CANCELLED)
 
-    def _give_up(self, now: int, attempt: Attempt, outcome: Outcome) -> None:
+    def _give_up(self, now: int, attempt: Attempt, outcome: Outcome, now_or_never: bool = False) -> None:
+        """End an attempt here, unless its backend cannot stop it: then its slots stay taken till it ends."""
+        over = True
         try:
-            self.backends.cancel(attempt)
+            over = self.backends.cancel(attempt, now_or_never) is not False
         except Exception:
-            log.exception("cancel failed")
-        self.ended(now, attempt, outcome)
+            say("defect", True, what="cancel")
+        if over or now_or_never:
+            self.ended(now, attempt, outcome)
 
     def _probe(self, now: int, action: api.Probe) -> None:
+        req = self.reqs.get(action.request)
+        probe = Probe(action.worker, req)
+        if not self.may_probe(probe):
+            self.probed(now, probe, Outcome.MOOT)
+            return
+        if req is not None:
+            req.probes.append(probe)
         try:
-            self.backends.probe(action.worker)
+            self.backends.probe(probe)
         except Exception:
-            log.exception("probe failed")
-            self.probed(now, action.worker, Outcome.CONNECT_FAILED)  # or the brain would wait for ever
+            say("defect", True, what="probe")
+            self.probed(now, probe, Outcome.CONNECT_FAILED)  # or the brain would wait for ever
 
     def _subscribe(self, now: int, action: api.Subscribe) -> None:
         try:
             self.director.watch()
         except Exception:
-            log.exception("watch failed")
+            say("defect", True, what="watch")
             self.listed(now, api.WorkerList(api.ListKind.FAILED, []))  # or it would never ask again
 
     def _set_timer(self, now: int, action: api.SetTimer) -> None:
@@ -225,16 +308,17 @@
 
     # Answers.
 
-    def _answer(self, number: int, kind: str, *details: Any) -> None:
+    def _answer(self, now: int, number: int, kind: str, *details: Any) -> None:
         """The one place that gives a final answer: the first counts, later ones are passed over."""
         req = self.reqs.get(number)
         if req is None or req.answered:
             return
+        self.budget.step(now, budgets.Answered(req.claim))
         self._close(req)
         try:
             getattr(req.client, kind)(*details)
         except Exception:
-            log.exception("answer failed")
+            say("defect", True, what="answer")
 
     def _close(self, req: Req) -> None:
         req.answered = True
@@ -249,10 +333,11 @@
 
     def _overdue(self, now: int, req: Req) -> None:
         """The budget is used up: attempts time out, and the brain answers, or else this does."""
+        self.budget.step(now, budgets.RanOut(req.claim))
         for attempt in req.attempts:
             if attempt.outcome is None:
-                self._give_up(now, attempt, Outcome.TIMEOUT)
+                self._give_up(now, attempt, Outcome.TIMEOUT, now_or_never=True)
         if not req.answered:
-            log.error("req overdue without an answer from the brain")
-            self._answer(req.id, "failed")
+            say("overdue-unanswered")
+            self._answer(now, req.id, "failed")
             self._tell(now, api.RequestWithdrawn(req.id), req)
--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -237,7 +237,7 @@
         request.asks, request.asking = request.asks + 1, len(unsure[:ASK])
         for worker in unsure[:ASK]:
             worker.asker = request
-            self.actions.append(api.Probe(worker.id))
+            self.actions.append(api.Probe(worker.id, request.id))
         self._arm(wait, lambda asks=request.asks: self._asked(request, asks))
         return True
 
--- a/cedarmill/decisions/interface.py
+++ b/cedarmill/decisions/interface.py
@@ -328,9 +328,10 @@
 
 @dataclass(slots=True)
 class Probe:
-    """Ask a worker for a sign of life and its load report."""
+    """Ask a worker for a sign of life and its load report, for the sake of a request (0: of none)."""
 
     worker: int
+    request: int = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/cedarmill/log.py
@@ -0,0 +1,88 @@
+"""The node's log: each event with fixed words and fields, as text or as JSON, a line an event.
+
+`docs/on-call.md` lists every event with its fields. The text form needs the standard library only; the JSON
+form is rendered by structlog, which is loaded when it is asked for.
+"""
+
+import logging
+import sys
+from typing import Any, NamedTuple
+
+log = logging.getLogger("cedarmill")
+FORMATS = ("text", "json")
+TEXT_FORM = "%(asctime)s %(levelname)s %(message)s"
+
+
+class Event(NamedTuple):
+    """One kind of event: its level, and its words with places for its fields."""
+
+    level: int
+    words: str
+
+
+EVENTS = {
+    "serves": Event(logging.INFO, "node {name} serves on {host} port {port}"),
+    "ended": Event(logging.INFO, "node {name} has ended"),
+    "draining": Event(logging.INFO, "draining: {held} reqs held"),
+    "closed": Event(logging.INFO, "draining: no new sessions from now on, {held} reqs held"),
+    "reloaded": Event(logging.INFO, "reloaded: the director is at {host} port {port}"),
+    "reload-failed": Event(logging.ERROR, "reload failed, the old configuration holds: {reason}"),
+    "reload-ignored": Event(logging.WARNING, "reload: a change of {names} takes a restart"),
+    "watching": Event(logging.INFO, "director: watching from index {index} at {host} port {port}"),
+    "watch-lost": Event(logging.WARNING, "director: watch lost ({reason}), the last list holds"),
+    "entry-passed-over": Event(logging.WARNING, "director: entry {name} passed over: {reason}"),
+    "sessions-full": Event(logging.WARNING, "client sessions at their bound of {bound}, new ones wait"),
+    "accept-failed": Event(logging.WARNING, "accept failed: {reason}"),
+    "session-not-opened": Event(logging.WARNING, "client session did not open: {reason}"),
+    "backends-full": Event(logging.WARNING, "backend connections at their bound of {bound}"),
+    "spent-for-nobody": Event(logging.INFO, "spent for nobody: {summary}"),
+    "clock-off": Event(logging.WARNING, "a client's deadline cannot be: {reason}"),
+    "overdue-unanswered": Event(logging.ERROR, "req overdue without an answer from the brain"),
+    "defect": Event(logging.ERROR, "{what} failed"),
+    "loop": Event(logging.ERROR, "loop: {what}"),
+}
+
+
+def say(event: str, error: Any = None, **fields: Any) -> None:
+    """Log one event; `error` adds a traceback (True: of the exception being handled)."""
+    kind = EVENTS[event]
+    if log.isEnabledFor(kind.level):
+        extra = {"event_name": event, "event_fields": fields}
+        log.log(kind.level, kind.words.format(**fields), exc_info=error, extra=extra)
+
+
+class Sparing(logging.Filter):
+    """Lets the same line through once in ten seconds: what goes wrong for every req must not fill the log."""
+
+    SECONDS = 10
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._said: dict[str, float] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        text = record.getMessage()
+        self._said = {t: at for t, at in self._said.items() if record.created - at < self.SECONDS}
+        return self._said.setdefault(text, record.created) == record.created
+
+
+def _json() -> logging.Formatter:
+    import structlog  # here alone: the platform's run renders text and must not load it
+
+    def fields(_logger: Any, _method: str, entry: dict[str, Any]) -> dict[str, Any]:
+        record = entry["_record"]
+        words, name = entry.pop("event"), getattr(record, "event_name", "other")
+        return {**entry, "event": name, **getattr(record, "event_fields", {}), "words": words}
+
+    shared = [structlog.stdlib.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True), fields]
+    ends = [structlog.processors.format_exc_info, structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+            structlog.processors.JSONRenderer()]  # fmt: skip
+    return structlog.stdlib.ProcessorFormatter(foreign_pre_chain=shared, processors=ends)
+
+
+def begin(form: str = "text") -> None:
+    """Send the log to standard error in one of FORMATS."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(Sparing())
+    handler.setFormatter(_json() if form == "json" else logging.Formatter(TEXT_FORM))
+    logging.basicConfig(handlers=[handler], level=logging.INFO)
--- a/cedarmill/net/backends.py
+++ b/cedarmill/net/backends.py
@@ -1,20 +1,20 @@
 """Backends: a pool of HTTP/1.1 connections to each executor, with the attempts and probes they carry."""
 
 import asyncio
-import logging
 from typing import Any
 
 import httptools
 import msgspec
 
 from cedarmill.core.deadlines import Deadline
-from cedarmill.core.dispatch import Attempt, Dispatch
+from cedarmill.core.dispatch import Attempt, Dispatch, Probe
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
+from cedarmill.log import say
 from cedarmill.net.config import Address, Endpoint
 from cedarmill.net.turn import Turn, callback
+from cedarmill.values import KindOptions, Options
 
-log = logging.getLogger("cedarmill")
 IDLE_SHARE = 0.5  # of the time after which the executor's machine closes an idle connection
 PROBE_WAIT = 2  # connect time-outs that a probe may take
 MAX_LINE = 256 * 1024
@@ -76,6 +76,9 @@
         """The text to write, or None where it may not be sent any longer."""
         raise NotImplementedError
 
+    def on_written(self, now: int) -> None:
+        """The last byte has left."""
+
     def on_head(self) -> None:
         """The status and the headers have come."""
 
@@ -109,19 +112,24 @@
         self.attempt = attempt
         self.id = attempt.req.payload.headers[b"x-call-id"].decode("latin-1")
         self.unsafe = attempt.req.spec.effect == api.Effect.UNSAFE
-        attempt.link = self
+        attempt.link, attempt.blind = self, backend.kind.cancel not in ("close", "end")
 
     def request(self, now: int) -> bytes | None:
         if not self.backends.dispatch.may_write(now, self.attempt):
             return None
         message = self.attempt.req.payload
+        margins = self.backends.dispatch.budget.margins
+        rest = margins.passed_on(self.backend.number, self.attempt.req.due - now)
         lines = [b"%s %s HTTP/1.1" % (message.method, message.target),
                  b"Host: " + str(self.backend.address.host).encode()]  # fmt: skip
         lines += [b"%s: %s" % (n, message.headers[n]) for n in PASSED_ON if n in message.headers]
-        lines += [b"X-Budget-Ms: %d" % max(1, (self.attempt.req.due - now) // 1000),
+        lines += [b"X-Budget-Ms: %d" % max(1, rest // 1000),
                   b"Content-Length: %d\r\n\r\n" % len(message.body)]  # fmt: skip
         return b"\r\n".join(lines) + message.body
 
+    def on_written(self, now: int) -> None:
+        self.backends.dispatch.written(now, self.attempt)
+
     def on_body(self, data: bytes) -> None:
         if self.status != 200 or self.ending:
             return
@@ -172,11 +180,31 @@
         self.backends.dispatch.ended(now, self.attempt, outcome, *details)
 
 
+class NodeJob(Job):
+    """An attempt at a backend that is a node itself: it gives one final answer, and no lines."""
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+        if len(self.body) > MAX_LINE:
+            raise ValueError("an answer is too long")
+
+    def on_head(self) -> None:
+        """429 and 503 are refusals: that node promises that nothing ran. 502 is a failed req."""
+        if self.status in (429, 503):
+            self.ending = (Outcome.FULL,)
+        elif self.status != 200:
+            self.ending = (Outcome.UNUSABLE if self.status == 400 else Outcome.ERROR,)
+
+    def on_complete(self) -> None:
+        self.ending = self.ending or (Outcome.OK, None, bytes(self.body))
+
+
 class Check(Exchange):
     """A probe."""
 
-    def __init__(self, backends: "Backends", backend: "Backend") -> None:
+    def __init__(self, backends: "Backends", backend: "Backend", probe: Probe) -> None:
         super().__init__(backends, backend)
+        self.probe, probe.link = probe, self
         wait = PROBE_WAIT * backends.settings.connect_timeout_us
         self.deadline = backends.turn.deadlines.add(backends.turn.now() + wait, self._late)
 
@@ -186,9 +214,14 @@
             self.connection.abort_quietly()
         self.finish(now, Outcome.TIMEOUT)
 
-    def request(self, now: int) -> bytes:
+    def request(self, now: int) -> bytes | None:
+        if self.probe.link is None or not self.backends.dispatch.may_probe(self.probe):
+            return None
         return b"GET /status/load HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.backend.address.host).encode()
 
+    def on_written(self, now: int) -> None:
+        self.probe.written = True
+
     def on_body(self, data: bytes) -> None:
         self.body += data
         if len(self.body) > MAX_LINE:
@@ -205,7 +238,7 @@
 
     def tell(self, now: int, outcome: Outcome, *details: Any) -> None:
         self.backends.turn.deadlines.cancel(self.deadline)
-        self.backends.dispatch.probed(now, self.backend.number, outcome, *details)
+        self.backends.dispatch.probed(now, self.probe, outcome, *details)
 
 
 class Connection(asyncio.Protocol):
@@ -222,12 +255,14 @@
         self.written = False  # whether the exchange's last byte has left
         self.complete = self.keep_alive = False
         self.closed = False
+        self.opened_at = 0
         self.deadline: Deadline | None = None
         self.task: asyncio.Task | None = None
 
     def open(self) -> None:
         """Connect; the task is this connection's, whatever it will carry."""
         turn = self.turn
+        self.opened_at = turn.now()
         wait = self.backend.backends.settings.connect_timeout_us
         self.deadline = turn.deadlines.add(turn.now() + wait, lambda now: self.abort())
         host, port = self.backend.address.host, self.backend.address.port
@@ -249,6 +284,8 @@
         if self.closed:
             transport.abort()
             return
+        trip = self.turn.now() - self.opened_at
+        self.backend.backends.dispatch.budget.margins.trip(self.backend.number, trip)
         exchange, self.exchange = self.exchange, None
         self.carry(exchange)
 
@@ -273,7 +310,12 @@
 
     def _write(self, text: bytes) -> None:
         self.transport.write(text)
-        self.written = not (self.last or self.transport.get_write_buffer_size())
+        self._has_left(not (self.last or self.transport.get_write_buffer_size()))
+
+    def _has_left(self, whole: bool) -> None:
+        self.written = whole
+        if whole and self.exchange is not None:
+            self.exchange.on_written(self.turn.now())
 
     def _commit(self, now: int) -> None:
         """Send the last byte, if the attempt still may be sent."""
@@ -286,7 +328,7 @@
         self._write(last)
 
     def resume_writing(self) -> None:
-        self.written = not self.last
+        self._has_left(not self.last)
 
     @callback
     def data_received(self, data: bytes) -> None:
@@ -365,6 +407,13 @@
         if not self.closed:
             self._lost()
 
+    def end_sending(self) -> None:
+        """Give up what it carries by ending the sending: the backend stops, and closes."""
+        self.exchange = None
+        self.turn.deadlines.cancel(self.deadline)
+        self.deadline = self.turn.deadlines.add(self.turn.now() + TAIL_US, lambda now: self.abort())
+        self.transport.write_eof()
+
     def _rest(self) -> None:
         """Into the pool."""
         self.exchange, self.kept = None, True
@@ -376,8 +425,8 @@
 class Backend:
     """One executor, with its pool: the connection used last is used first."""
 
-    def __init__(self, backends: "Backends", number: int, address: Address) -> None:
-        self.backends, self.number, self.address = backends, number, address
+    def __init__(self, backends: "Backends", number: int, address: Address, kind: KindOptions) -> None:
+        self.backends, self.number, self.address, self.kind = backends, number, address, kind
         self.connections: set[Connection] = set()
         self.idle: list[Connection] = []
 
@@ -390,7 +439,7 @@
                 connection.carry(exchange)
                 return
         if not self.backends.make_room():
-            log.warning("backend connections at their bound of %d", self.backends.bound)
+            say("backends-full", bound=self.backends.bound)
             exchange.finish(self.backends.turn.now(), Outcome.CONNECT_FAILED)
             return
         connection = Connection(self, exchange)
@@ -411,8 +460,8 @@
 class Backends:
     """All backends; the dispatch's port to them."""
 
-    def __init__(self, turn: Turn, settings: api.Settings, bound: int) -> None:
-        self.turn, self.settings, self.bound = turn, settings, bound
+    def __init__(self, turn: Turn, settings: api.Settings, bound: int, options: Options) -> None:
+        self.turn, self.settings, self.bound, self.options = turn, settings, bound, options
         self.dispatch: Dispatch | None = None
         self.by_number: dict[int, Backend] = {}
         self.wary_until = 0
@@ -424,7 +473,9 @@
                 self.by_number[number].close_idle()
             return
         address = Address.parse(endpoint.address)
-        backend = self.by_number.setdefault(number, Backend(self, number, address))
+        if (backend := self.by_number.get(number)) is None:
+            kind = self.options.kind(endpoint.type)
+            backend = self.by_number[number] = Backend(self, number, address, kind)
         if backend.address != address:
             backend.address = address
             backend.close_idle()
@@ -443,13 +494,32 @@
 
     def send(self, attempt: Attempt) -> None:
         backend = self.by_number[attempt.worker]
-        backend.carry(Job(self, backend, attempt))
+        job = NodeJob if backend.kind.speaks == "node" else Job
+        backend.carry(job(self, backend, attempt))
 
-    def cancel(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: Attempt, now_or_never: bool = False) -> bool:
+        """By what the backend honours; what has not gone out whole only needs its connection closed."""
         connection = attempt.link.connection if attempt.link is not None else None
-        if connection is not None and connection.exchange is attempt.link:
+        if connection is None or connection.exchange is not attempt.link:
+            return True
+        how = attempt.link.backend.kind.cancel if attempt.written else "blind"
+        if how == "none" and not now_or_never:
+            return False
+        if how == "end":
+            connection.end_sending()
+        else:
             connection.abort_quietly()
+        return True
+
+    def probe(self, probe: Probe) -> None:
+        backend = self.by_number[probe.worker]
+        backend.carry(Check(self, backend, probe))
 
-    def probe(self, worker: int) -> None:
-        backend = self.by_number[worker]
-        backend.carry(Check(self, backend))
+    def recall(self, probe: Probe) -> None:
+        check, probe.link = probe.link, None
+        if check is None:
+            return
+        check.told = True
+        self.turn.deadlines.cancel(check.deadline)
+        if check.connection is not None and check.connection.exchange is check:
+            check.connection.abort_quietly()
--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -1,21 +1,23 @@
 """Client sessions: HTTP/1.1 from clients, one req at a time on each, and their final answers."""
 
 import asyncio
-import logging
 import math
 import re
 import socket
+import time
 from collections import deque
 from itertools import islice
 
 import httptools
 
+from cedarmill.budget.source import BadDeadline, granted
 from cedarmill.core.dispatch import Dispatch, Req
 from cedarmill.decisions import interface as api
+from cedarmill.log import say
 from cedarmill.net.config import Address
 from cedarmill.net.turn import Turn, callback
+from cedarmill.values import DeadlineOptions
 
-log = logging.getLogger("cedarmill")
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 MAX_PIPELINED = 8
@@ -25,7 +27,6 @@
 SLOW_US = 15_000_000  # afterwards, for a request to arrive whole
 GRACE_US = 150_000  # a session younger than that makes no room for others
 LINGER_US = 1_000_000  # for a client to read the last answer, though it may still be sending
-MARGIN_US = 20_000  # an answer leaves so long before the client's budget ends
 ACCEPT_AGAIN_US = 50_000
 ACCEPTS = 32  # in one turn: a flood of connections must not hold up the reqs
 BACKLOG = 1024
@@ -98,6 +99,7 @@
         self.req: Req | None = None
         self.call_id = b""  # of the req that is open
         self.ending = self.clogged = self.paused = False
+        self.half_closed = False  # it sends no more, but still reads
         self.deadline = None
 
     @callback
@@ -117,8 +119,15 @@
             req = self._release()
             self.clients.dispatch.withdraw(self.turn.now(), req)
 
-    def eof_received(self) -> None:
-        """The client has gone: the loop closes the transport, and connection_lost does the rest."""
+    def eof_received(self) -> bool:
+        """The client sends no more: it has gone, unless the settings say that it may still read.
+
+        False: the loop closes the transport, and connection_lost does the rest.
+        """
+        if self.clients.options.half_close == "leaves" or not (self.answering or self.waiting):
+            return False
+        self.half_closed = True
+        return True
 
     def pause_writing(self) -> None:
         """It does not read its answers: it gets no more until it does."""
@@ -169,7 +178,7 @@
     def _reject(self, fault: BaseException | None) -> None:
         """The answer that ends the session, after those that are still owed."""
         if not isinstance(fault, BadMessage):
-            log.error("callback failed on a message", exc_info=fault)
+            say("defect", fault, what="callback on a message")
             fault = BadMessage(500, "internal error")
         message, self.message = self.message or Message(self.turn.now()), None
         message.fault, message.keep_alive, self.faulty = fault, False, True
@@ -193,7 +202,7 @@
         name, message = name.lower(), self.message
         if not message.head:
             return  # a trailer changes nothing
-        if name in ONCE and name in message.headers:
+        if name in self.clients.once and name in message.headers:
             raise BadMessage(400, f"{name.decode()} comes twice")
         message.headers[name] = value.strip()
 
@@ -260,7 +269,7 @@
             except BadMessage as fault:
                 self._write(fault.status, str(fault).encode() + b"\n")
             except Exception:
-                log.exception("callback failed on a req")
+                say("defect", True, what="callback on a req")
                 self._write(500, b"internal error\n")
         if self.answering is None and not self.ending and self.message is not None:
             self._rest()
@@ -277,6 +286,8 @@
             ready = self.clients.ready()
             self.clients.prove(self)
             self._write(200 if ready else 503, b"ready\n" if ready else b"not ready\n")
+        elif self.clients.options.cancel_calls and message.method == b"DELETE":
+            self._recall(message, path)
         elif path == b"/api" or path.startswith(b"/api/"):  # without a key the path ends there
             if message.method != b"POST":
                 raise BadMessage(405, "POST only")
@@ -284,11 +295,44 @@
         else:
             raise BadMessage(404, "unknown path")
 
+    def _checked(self, message: Message) -> None:
+        """The platform's header must hold a budget, where it is read at all."""
+        if "x-budget-ms" in self.clients.options.sources and message.number(b"x-budget-ms") == 0:
+            raise BadMessage(400, "bad x-budget-ms")
+
+    def _due(self, message: Message, longest: int) -> int:
+        """When the answer has to leave: the client's deadline, less this node's margin."""
+        clients = self.clients
+        unix = time.time_ns() // 1000 - (self.turn.now() - message.began_at)
+        try:
+            budget = granted(message.headers, clients.options, longest, unix)
+        except BadDeadline as error:
+            if "clocks" in str(error):
+                say("clock-off", reason=str(error))
+            raise BadMessage(400, str(error)) from None
+        due = message.began_at + budget - clients.dispatch.budget.margins.answer(budget)
+        return min(due, clients.answer_by) if clients.answer_by else due
+
+    def _recall(self, message: Message, path: bytes) -> None:
+        """`DELETE /api/calls/ID`, from a front that cannot close: the client of that call has left."""
+        call_id = path.removeprefix(b"/api/calls/")
+        session = self.clients.open_ids.get(call_id) if call_id != path else None
+        caller = message.headers.get(b"x-caller")
+        if session is None or session.answering.headers.get(b"x-caller") != caller:
+            raise BadMessage(404, "no such call is open")
+        self.clients.prove(self)
+        session.recalled()
+        self._write(200, b"recalled\n")
+
+    def recalled(self) -> None:
+        """Its client has left by word: nothing starts for the req, and the session goes on."""
+        if self.req is not None:
+            self.clients.dispatch.withdraw(self.turn.now(), self._release())
+            self._final(502, b"recalled by its client\n")
+
     def _take(self, message: Message, path: bytes) -> None:
         clients, now = self.clients, self.turn.now()
-        budget = message.number(b"x-budget-ms")
-        if not budget:
-            raise BadMessage(400, "bad x-budget-ms")
+        self._checked(message)
         call_id = message.headers.get(b"x-call-id", b"")
         if not CALL_ID.fullmatch(call_id):
             raise BadMessage(400, "bad x-call-id")
@@ -303,17 +347,14 @@
             key = int(path[len(b"/api/") :].rpartition(b"/")[2] or b"0", 16) & 0xFFFFFFFFFFFFFFFF
         except ValueError:
             key = 0
-        budget = min(budget * 1000, clients.deadlines[clients.classes[name]])
-        due = message.began_at + budget - min(MARGIN_US, budget // 10)
-        if clients.answer_by:
-            due = min(due, clients.answer_by)
+        due = self._due(message, clients.deadlines[clients.classes[name]])
         job = api.RequestArrived(
             0, clients.classes[name], max(0, due - now), figures.get("slots", 1.0),
             figures.get("memory", figures.get("mem", 0.0)), message.number(b"x-call-cost") or 0,
             clients.tenants.get(tenant, len(clients.tenants)), key, message.headers.get(b"x-again") == b"1",
         )  # fmt: skip
         clients.prove(self)
-        clients.open_ids.add(call_id)
+        clients.open_ids[call_id] = self
         self.call_id = call_id
         req = clients.dispatch.arrive(now, self, message, due, job)
         if not req.answered:
@@ -322,7 +363,7 @@
     def _release(self) -> Req | None:
         """The req is no longer open."""
         req, self.req = self.req, None
-        self.clients.open_ids.discard(self.call_id)
+        self.clients.open_ids.pop(self.call_id, None)
         return req
 
     # The final answers, as the core gives them.
@@ -348,7 +389,7 @@
         message, self.answering = self.answering, None
         if self.ending:
             return
-        last = not message.keep_alive or self.clients.closing
+        last = not message.keep_alive or self.clients.closing or (self.half_closed and not self.waiting)
         if last:
             more += b"Connection: close\r\n"
         if status == 405:
@@ -370,8 +411,9 @@
 class Clients:
     """The listening socket and its sessions."""
 
-    def __init__(self, turn: Turn, settings: api.Settings, bound: int) -> None:
-        self.turn, self.bound = turn, bound
+    def __init__(self, turn: Turn, settings: api.Settings, bound: int, options: DeadlineOptions) -> None:
+        self.turn, self.bound, self.options = turn, bound, options
+        self.once = ONCE.union(name.encode() for name in options.sources)
         self.dispatch: Dispatch | None = None
         self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.deadlines = [spec.deadline_us for spec in settings.classes]
@@ -379,7 +421,7 @@
         self.sessions: set[ClientSession] = set()
         self.unproven: dict[ClientSession, None] = {}  # no good request yet, the oldest first
         self.resting: dict[ClientSession, None] = {}  # between requests, the one that rests longest first
-        self.open_ids: set[bytes] = set()
+        self.open_ids: dict[bytes, ClientSession] = {}
         self.draining = self.closing = False
         self.answer_by = 0  # when the platform may kill the node, once it is told to end
         self.port = 0
@@ -425,7 +467,7 @@
             except (BlockingIOError, ConnectionAbortedError):
                 return False
             except OSError as error:  # no descriptors: accepting goes on when some may be free
-                log.warning("accept failed: %s", error.strerror)
+                say("accept-failed", reason=error.strerror)
                 self._accept_later()
                 return False
             sock.setblocking(False)
@@ -456,13 +498,13 @@
         if going:
             self._accept_off()  # `left` puts it on
         else:
-            log.warning("client sessions at their bound of %d, new ones wait", self.bound)
+            say("sessions-full", bound=self.bound)
             self._accept_later()
 
     def _opened(self, task: asyncio.Task) -> None:
         self._opening.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log.warning("client session did not open: %s", task.exception())
+            say("session-not-opened", reason=task.exception())
 
     def came(self, session: ClientSession) -> None:
         """A session is new: nothing is known of its client."""
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/director.py
@@ -1,18 +1,17 @@
 """The director: discovery's list, first as the configuration holds it, then by a watch on its changes."""
 
 import asyncio
-import logging
 
 import httptools
 import msgspec
 
 from cedarmill.core.dispatch import Dispatch
 from cedarmill.decisions import interface as api
+from cedarmill.log import say
 from cedarmill.net.backends import Backends
 from cedarmill.net.config import Address, Listing, ListReader
 from cedarmill.net.turn import Turn, callback
 
-log = logging.getLogger("cedarmill")
 CONNECT_US = 1_000_000
 CALL_US = 3_500_000  # for a call to be answered: calls wait their turn
 SILENCE_US = 3_500_000  # without a line: an empty one comes every 2 s
@@ -128,8 +127,7 @@
     def news(self, listing: Listing) -> None:
         """A line of the watch."""
         if not self.healthy:
-            where = f"{self.address.host} port {self.address.port}"
-            log.info("director: watching from index %d at %s", listing.index, where)
+            say("watching", index=listing.index, host=self.address.host, port=self.address.port)
             self.healthy = True
         self._tell(listing, api.ListKind.FULL if listing.snapshot else api.ListKind.DELTA)
 
@@ -140,7 +138,7 @@
             try:
                 self.backends.update(entry.worker, endpoint)
             except ValueError as error:
-                log.warning("director: entry %s passed over: %s", endpoint.name, error)
+                say("entry-passed-over", name=endpoint.name, reason=error)
                 continue
             entries.append(entry)
         self.index = listing.index
@@ -170,6 +168,6 @@
             return
         self.current = None
         if self.healthy is not False:
-            log.warning("director: watch lost (%s), the last list holds", reason)
+            say("watch-lost", reason=reason)
             self.healthy = False
         self.dispatch.listed(self.turn.now(), api.WorkerList(api.ListKind.FAILED, []))
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -1,7 +1,6 @@
 """The node: wires brain, dispatch and sockets, starts them, and ends them on a signal."""
 
 import gc
-import logging
 import os
 import resource
 import signal
@@ -9,16 +8,19 @@
 
 import uvloop
 
+from cedarmill import log
+from cedarmill.budget.machine import Budget
 from cedarmill.core.deadlines import Deadlines
 from cedarmill.core.dispatch import Dispatch
 from cedarmill.decisions.brain import Brain
+from cedarmill.log import say
 from cedarmill.net.backends import Backends
 from cedarmill.net.clients import Clients
 from cedarmill.net.config import Config, ConfigError
 from cedarmill.net.director import Director
-from cedarmill.net.turn import Sparing, Turn
+from cedarmill.net.turn import Turn
+from cedarmill.values import Options
 
-log = logging.getLogger("cedarmill")
 OWN_DESCRIPTORS = 24  # the loop's, the log, the listening socket, the director: 14 were counted
 OWN_MEMORY_MB = 24  # measured: 16 to 20 before the first session
 SESSION_MB = 0.096  # measured: 0.07 with a body of 64 KiB that waits for its end
@@ -28,14 +30,16 @@
 KILL_DEADLINE_US = 3_000_000
 KILL_MARGIN_US = 150_000
 CHECK_END_US = 10_000
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+SPENT = ("{job_class} {cause}: {attempts} attempts, {before:.2f} s before, {after:.2f} s after, "
+         "{guessed:.2f} s guessed")  # slot-seconds, before and after nobody wanted them
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
 class Node:
     """One node on one loop."""
 
-    def __init__(self, path: str) -> None:
-        self.path, self.config = path, Config.load(path)
+    def __init__(self, path: str, options: Options) -> None:
+        self.path, self.config, self.options = path, Config.load(path), options
         config, settings = self.config, self.config.settings
         self.loop = uvloop.new_event_loop()
         self.loop.set_exception_handler(self._exception)
@@ -44,32 +48,49 @@
         sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         sessions = (sockets - OWN_DESCRIPTORS) // 2
         in_memory = int((config.limits.memory_mb - OWN_MEMORY_MB) / SESSION_MB)
-        self.clients = Clients(self.turn, settings, bound=min(sessions, in_memory))
-        self.backends = Backends(self.turn, settings, bound=sockets - OWN_DESCRIPTORS - sessions)
+        self.budget = Budget(options.deadlines, len(settings.classes))
+        self.clients = Clients(self.turn, settings, min(sessions, in_memory), options.deadlines)
+        self.backends = Backends(self.turn, settings, sockets - OWN_DESCRIPTORS - sessions, options)
         self.director = Director(self.turn, settings, config.discovery, self.backends)
         brain = Brain(settings, config.seed)
-        self.dispatch = Dispatch(brain, self.deadlines, self.backends, self.director)
+        self.dispatch = Dispatch(brain, self.deadlines, self.backends, self.director, self.budget)
         for adapter in (self.clients, self.backends, self.director):
             adapter.dispatch = self.dispatch
         self.draining = False
 
     def run(self) -> None:
         """Serve until a signal has been obeyed; raises OSError where the address cannot be had."""
+        obey = {signal.SIGHUP: self._reload, signal.SIGUSR1: self._account}
         for number in SIGNALS:
-            self.loop.add_signal_handler(number, self._reload if number == signal.SIGHUP else self._drain)
+            self.loop.add_signal_handler(number, obey.get(number, self._drain))
         self.clients.listen(self.config.listen)
         self.director.first(self.config.known)
+        self.deadlines.add(self.turn.now() + self.options.ledger_every_us, self._account_again)
         self.loop.call_soon(self._started)
         gc.collect()
         gc.freeze()
         self.turn.end()
         self.loop.run_forever()
-        log.info("node %s has ended", self.config.name)
+        say("ended", name=self.config.name)
 
     def _started(self) -> None:
         """The loop runs: only now does it hear of signals, those that came before included."""
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-        log.info("node %s serves on %s port %d", self.config.name, self.config.listen.host, self.clients.port)
+        say("serves", name=self.config.name, host=self.config.listen.host, port=self.clients.port)
+
+    def _account_again(self, now: int) -> None:
+        """Tell the ledger, and again after its time: only what happened since is told."""
+        self.deadlines.add(now + self.options.ledger_every_us, self._account_again)
+        self._account(quiet=True)
+
+    def _account(self, quiet: bool = False) -> None:
+        """Tell what was spent for nobody; when asked by a signal, also that it was nothing."""
+        names = [spec.name for spec in self.config.settings.classes]
+        rows = [row._replace(job_class=names[row.job_class])._asdict() for row in self.budget.ledger.take()]
+        summary = "; ".join(SPENT.format(**{**row, "before": row["before"] / 1e6, "after": row["after"] / 1e6,
+                                            "guessed": row["guessed"] / 1e6}) for row in rows)  # fmt: skip
+        if rows or not quiet:
+            say("spent-for-nobody", summary=summary or "nothing", rows=rows)
 
     def _reload(self) -> None:
         """Take up a new configuration; one that cannot be used changes nothing."""
@@ -78,11 +99,11 @@
         try:
             config = Config.load(self.path)
         except (ConfigError, OSError) as error:
-            log.error("reload failed, the old configuration holds: %s", error)
+            say("reload-failed", reason=error)
             return
         if fixed := self.config.fixed_changes(config):
-            log.warning("reload: a change of %s takes a restart", ", ".join(fixed))
-        log.info("reloaded: the director is at %s port %d", config.discovery.host, config.discovery.port)
+            say("reload-ignored", names=", ".join(fixed))
+        say("reloaded", host=config.discovery.host, port=config.discovery.port)
         self.director.move(config.discovery)
         self.turn.end()
 
@@ -90,14 +111,14 @@
         if self.draining:
             return
         self.draining = True
-        log.info("draining: %d reqs held", self.dispatch.owed)
+        say("draining", held=self.dispatch.owed)
         self.clients.drain()
         self.deadlines.add(self.turn.now() + ACCEPT_ON_US, self._stop)
         self.turn.end()
 
     def _stop(self, now: int) -> None:
         self.clients.stop_listening()
-        log.info("draining: no new sessions from now on, %d reqs held", self.dispatch.owed)
+        say("closed", held=self.dispatch.owed)
         longest = max(spec.deadline_us for spec in self.config.settings.classes)
         kill = now - ACCEPT_ON_US + KILL_US + min(longest, KILL_DEADLINE_US)
         self.clients.answer_by = kill - KILL_MARGIN_US
@@ -112,20 +133,17 @@
 
     @staticmethod
     def _exception(loop, context: dict) -> None:
-        log.error("loop: %s", context.get("message"), exc_info=context.get("exception"))
+        say("loop", context.get("exception"), what=context.get("message"))
 
 
-def main() -> int:
-    """Start the node that the environment describes."""
+def main(log_format: str = "text", options: Options | None = None) -> int:
+    """Start the node that the environment describes; the exit code."""
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # till the loop runs
-    handler = logging.StreamHandler(sys.stderr)
-    handler.addFilter(Sparing())
-    form = "%(asctime)s %(levelname)s %(message)s"
-    logging.basicConfig(handlers=[handler], level=logging.INFO, format=form)
+    log.begin(log_format)
     try:
         if not (path := os.environ.get("LB_CONFIG")):
             raise ConfigError("LB_CONFIG is not set")
-        Node(path).run()
+        Node(path, options or Options()).run()
     except (ConfigError, OSError) as error:
         print(f"cedarmill: {error}", file=sys.stderr)
         return 2
--- a/cedarmill/net/turn.py
+++ b/cedarmill/net/turn.py
@@ -2,27 +2,10 @@
 
 import asyncio
 import functools
-import logging
 import time
 
 from cedarmill.core.deadlines import Deadlines
-
-log = logging.getLogger("cedarmill")
-
-
-class Sparing(logging.Filter):
-    """Lets the same line through once in ten seconds: what goes wrong for every req must not fill the log."""
-
-    SECONDS = 10
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._said: dict[str, float] = {}
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        text = record.getMessage()
-        self._said = {t: at for t, at in self._said.items() if record.created - at < self.SECONDS}
-        return self._said.setdefault(text, record.created) == record.created
+from cedarmill.log import say
 
 
 class Turn:
@@ -45,7 +28,7 @@
             try:
                 call(now)
             except Exception:
-                log.exception("deadline failed")
+                say("defect", True, what="deadline")
         first = self.deadlines.first()
         if first == self._armed:
             return
@@ -69,7 +52,7 @@
         try:
             return method(self, *args)
         except Exception:
-            log.exception("callback %s failed", method.__qualname__)
+            say("defect", True, what=f"callback {method.__qualname__}")
             self.abort()
         finally:
             self.turn.end()
--- /dev/null
+++ b/cedarmill/values.py
@@ -0,0 +1,56 @@
+"""The value types of our own settings, with the defaults that hold where nothing is set: the platform's.
+
+All times are whole microseconds. Nothing here is read from a file: `conf` fills these from XML, and who
+needs one is given it.
+"""
+
+from dataclasses import dataclass, field
+
+SOURCES = ("x-budget-ms", "grpc-timeout", "x-envoy-expected-rq-timeout-ms", "x-deadline-unix-ms")
+CANCELS = ("blind", "close", "end", "none")
+SPEAKS = ("executor", "node")
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlineOptions:
+    """Where a req's deadline comes from, what is kept back of it, and what leaving means."""
+
+    sources: tuple[str, ...] = ("x-budget-ms",)  # headers that are read; of several the tightest holds
+    skew_us: int = 50_000  # bound on how far another machine's clock may be off, for absolute deadlines
+    margin: str = "fixed"  # or `learned`, from measured round trips and this node's own lag
+    margin_us: int = 20_000  # the fixed margin, and the ceiling of the learned one
+    margin_floor_us: int = 2_000  # of the learned margin: the loop's timer counts whole milliseconds
+    worth_quantile: float = 0.0  # of a class's running times that must still fit; 0: not asked
+    half_close: str = "leaves"  # or `stays`: a client that ends its sending still reads the answer
+    cancel_calls: bool = False  # whether DELETE /api/calls/ID says that a client has left
+    on_leave: str = "stop"  # or `ignore`: work goes on for who has left, to measure what stopping saves
+
+
+@dataclass(frozen=True, slots=True)
+class KindOptions:
+    """What the backends of one kind (the list's `type`) understand.
+
+    `cancel`: `blind` closes the connection and believes nothing of it (the platform's executors go on),
+    `close` closes it and the backend stops, `end` ends the sending on it and the backend stops, `none`
+    leaves it open: the attempt counts as running till its real end. `speaks`: `executor` answers with the
+    platform's lines of JSON, `node` with a final answer, as another cedarmill node does.
+    """
+
+    cancel: str = "blind"
+    speaks: str = "executor"
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """All settings that are ours."""
+
+    deadlines: DeadlineOptions = field(default_factory=DeadlineOptions)
+    kinds: dict[str, KindOptions] = field(default_factory=dict)  # `*` stands for all that are not named
+    ledger_every_us: int = 60_000_000  # between two events that tell what was spent for nobody
+
+    def kind(self, name: str) -> KindOptions:
+        """What holds for a kind of backend."""
+        return self.kinds.get(name) or self.kinds.get("*") or _KIND
+
+
+_KIND = KindOptions()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -3,6 +3,7 @@
 import logging
 import time
 import unittest
+from collections import deque
 
 from helpers import entry, keyed, settings
 
@@ -23,6 +24,8 @@
         self.answers: list[tuple] = []
         self.sent: list = []
         self.cancelled: list = []
+        self.probes: list = []
+        self.recalled: list = []
         self.broken: set[str] = set()
 
     def handle(self, now: int, event: api.Event):
@@ -30,6 +33,8 @@
         reply = self.replies.get(type(event), [])
         if isinstance(reply, Exception):
             raise reply
+        if isinstance(reply, deque):  # once each, then nothing
+            return [reply.popleft()] if reply else []
         return reply
 
     def _note(self, name: str, notes: list, value) -> None:
@@ -40,11 +45,14 @@
     def send(self, attempt) -> None:
         self._note("send", self.sent, attempt)
 
-    def cancel(self, attempt) -> None:
+    def cancel(self, attempt, now_or_never: bool = False) -> None:
         self._note("cancel", self.cancelled, attempt)
 
-    def probe(self, worker: int) -> None:
-        self._note("probe", [], worker)
+    def probe(self, probe) -> None:
+        self._note("probe", self.probes, probe)
+
+    def recall(self, probe) -> None:
+        self._note("recall", self.recalled, probe)
 
     def watch(self) -> None:
         self._note("watch", [], None)
@@ -157,6 +165,7 @@
     def test_a_client_that_leaves_is_owed_nothing(self):
         """The attempt is still out: its outcome is told later, and nobody is answered."""
         req = self.arrive(api.Send(1, 1))
+        self.dispatch.written(0, req.attempts[0])
         self.dispatch.withdraw(1, req)
         self.assertEqual((self.dispatch.owed, len(self.dispatch.reqs)), (0, 1))
         self.dispatch.ended(2, self.ports.sent[0], Outcome.OK, None, b"late")
