Add the cedarmill command, XML settings with a schema, and a first laboratory

Change: conf/ (XML held against shipped schemas, refused whole in one line), cli/ (node, sim, conf, lab), lab/ (boxes with shared cores, slots, an in-order queue and scripted faults; open-loop clients that leave; a director; a judge of five rules; one HTML report).

--- /dev/null
+++ b/cedarmill/conf/settings.py
@@ -0,0 +1,113 @@
+"""cedarmill.xml to the value types, and back to a list of what holds and where it came from."""
+
+import dataclasses
+from pathlib import Path
+from typing import NamedTuple
+
+from cedarmill.conf.document import ConfError, duration, load, microseconds, share
+from cedarmill.values import DeadlineOptions, KindOptions, Options
+
+
+class Held(NamedTuple):
+    """One setting that holds: its name, its value as written, and its file and line, or `default`."""
+
+    name: str
+    value: str
+    origin: str
+
+
+class _Place(NamedTuple):
+    """Where a setting stands in the file, and how its text is read and written."""
+
+    path: str
+    attribute: str
+    read: object
+    write: object
+
+
+_TEXT = str
+_SWITCH = {"on": True, "off": False}.__getitem__
+
+
+def _on(value: bool) -> str:
+    return "on" if value else "off"
+
+
+def _percent(value: float) -> str:
+    return f"{100 * value:g}%"
+
+
+_DEADLINES = {
+    "on_leave": _Place("deadlines", "on-leave", _TEXT, _TEXT),
+    "half_close": _Place("deadlines", "half-close", _TEXT, _TEXT),
+    "cancel_calls": _Place("deadlines", "cancel-calls", _SWITCH, _on),
+    "skew_us": _Place("deadlines/skew", "bound", microseconds, duration),
+    "margin": _Place("deadlines/margin", "kind", _TEXT, _TEXT),
+    "margin_us": _Place("deadlines/margin", "most", microseconds, duration),
+    "margin_floor_us": _Place("deadlines/margin", "least", microseconds, duration),
+    "worth_quantile": _Place("deadlines/worth", "quantile", share, _percent),
+}
+
+
+class Settings:
+    """What one file sets, on top of the defaults; `held` lists all of it."""
+
+    def __init__(self, path: str | Path | None) -> None:
+        self.path = path
+        self.held: list[Held] = []
+        self._root = load(path, "cedarmill") if path is not None else None
+        self.options = Options(self._deadlines(), self._kinds(), self._ledger())
+
+    def _find(self, place: str):
+        return None if self._root is None else self._root.find(place)
+
+    def _origin(self, element) -> str:
+        return f"{self.path}:{element.sourceline}"
+
+    def _hold(self, name: str, value: str, element) -> None:
+        self.held.append(Held(name, value, "default" if element is None else self._origin(element)))
+
+    def _value(self, place: _Place, default):
+        element = self._find(place.path)
+        text = None if element is None else element.get(place.attribute)
+        value = default if text is None else place.read(text)
+        name = f"{place.path.replace('/', '.')}.{place.attribute}"
+        self._hold(name, place.write(value), None if text is None else element)
+        return value
+
+    def _deadlines(self) -> DeadlineOptions:
+        default, values = DeadlineOptions(), {}
+        for name, place in _DEADLINES.items():
+            values[name] = self._value(place, getattr(default, name))
+        listed = [] if self._root is None else self._root.findall("deadlines/source")
+        names = [element.get("header") for element in listed]
+        if len(set(names)) < len(names):
+            raise ConfError(f"{self._origin(listed[-1])}: <source>: a header is named twice")
+        values["sources"] = tuple(names) or default.sources
+        self._hold("deadlines.source", ", ".join(values["sources"]), listed[0] if listed else None)
+        if values["margin_floor_us"] > values["margin_us"]:
+            where = self._origin(self._find("deadlines/margin"))
+            raise ConfError(f"{where}: <margin>: least is more than most")
+        return dataclasses.replace(default, **values)
+
+    def _kinds(self) -> dict[str, KindOptions]:
+        kinds: dict[str, KindOptions] = {}
+        default = KindOptions()
+        for element in [] if self._root is None else self._root.findall("backends/kind"):
+            name = element.get("name")
+            if name in kinds:
+                raise ConfError(f"{self._origin(element)}: <kind> name: {name!r} is named twice")
+            kinds[name] = KindOptions(
+                element.get("cancel", default.cancel), element.get("speaks", default.speaks)
+            )
+            for field in ("cancel", "speaks"):
+                self._hold(f"backends.kind[{name}].{field}", getattr(kinds[name], field),
+                           element if element.get(field) else None)  # fmt: skip
+        return kinds
+
+    def _ledger(self) -> int:
+        place = _Place("ledger", "every", microseconds, duration)
+        every = self._value(place, Options().ledger_every_us)
+        if every < 1_000_000:
+            raise ConfError(f"{self._origin(self._find('ledger'))}: <ledger> every: at least 1s")
+        return every
--- /dev/null
+++ b/cedarmill/lab/scenario.py
@@ -0,0 +1,128 @@
+"""A scenario file to plain values; those that the package ships go by their name."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from lxml import etree
+
+from cedarmill.conf.document import ConfError, load, microseconds, share
+from cedarmill.lab.load import Habits
+from cedarmill.lab.story import ClassRules
+
+SHIPPED = Path(__file__).parent / "scenarios"
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """The boxes: their speeds are drawn evenly between two bounds (1: the yardstick)."""
+
+    boxes: int
+    zones: int
+    cores: int
+    slots: int
+    queue: int
+    slowest: float
+    fastest: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault on the timeline; `every` 0: once. `boxes` is a share of the fleet, `size` its strength."""
+
+    kind: str
+    at: int
+    lasts: int
+    every: int
+    boxes: float
+    node: int
+    size: float
+
+
+@dataclass(frozen=True, slots=True)
+class Side:
+    """One of the things compared: our settings for the nodes, and whether boxes honour cancellation."""
+
+    name: str
+    honours: bool
+    settings: bytes  # a cedarmill.xml, or empty
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """All of a scenario but its seed."""
+
+    name: str
+    about: str
+    length: int
+    fleet: Fleet
+    nodes: int
+    rate: float
+    leave_by: str
+    habits: tuple[Habits, ...]
+    rules: dict[str, ClassRules]
+    worths: dict[str, float]
+    faults: tuple[Fault, ...]
+    sides: tuple[Side, ...]
+
+
+def shipped() -> list[str]:
+    """The names of the scenarios that the package ships."""
+    return sorted(path.stem for path in SHIPPED.glob("*.xml"))
+
+
+def read(name: str) -> Scenario:
+    """A shipped scenario by its name, or a file by its path; raises ConfError or OSError."""
+    path = SHIPPED / f"{name}.xml"
+    if name not in shipped():
+        path = Path(name)
+        if not path.exists():
+            raise ConfError(f"{name}: neither a file nor one of {', '.join(shipped())}")
+    root = load(path, "scenario")
+    classes = root.findall("load/class")
+    parts = [share(element.get("part")) for element in classes]
+    if abs(sum(parts) - 1) > 1e-9:
+        raise ConfError(f"{path}:{classes[0].sourceline}: <class> part: the parts add up to {sum(parts):.0%}")
+    sides = tuple(map(_side, root.findall("side")))
+    if len({side.name for side in sides}) < len(sides):
+        raise ConfError(f"{path}:{root.find('side').sourceline}: <side> name: one is named twice")
+    chain = root.find("chain")
+    nodes = int(chain.get("nodes")) if chain is not None else 1
+    faults = tuple(map(_fault, root.findall("fault")))
+    for element, fault in zip(root.findall("fault"), faults, strict=True):
+        if fault.kind == "kill-node" and fault.node >= nodes:
+            raise ConfError(f"{path}:{element.sourceline}: <fault> node: there are {nodes}, counted from 0")
+    return Scenario(
+        path.stem, root.get("about"), microseconds(root.get("length")), _fleet(root.find("fleet")), nodes,
+        float(root.find("load").get("rate")), root.find("load").get("leave-by"),
+        tuple(map(_habits, classes)), {element.get("name"): _rules(element) for element in classes},
+        {element.get("name"): float(element.get("worth")) for element in classes}, faults, sides,
+    )  # fmt: skip
+
+
+def _fleet(element: etree._Element) -> Fleet:
+    counts = [int(element.get(name)) for name in ("boxes", "zones", "cores", "slots", "queue")]
+    return Fleet(*counts, float(element.get("slowest")), float(element.get("fastest")))
+
+
+def _habits(element: etree._Element) -> Habits:
+    get = element.get
+    return Habits(get("name"), share(get("part")), microseconds(get("budget")), microseconds(get("work")),
+                  float(get("spread")), share(get("leave")), microseconds(get("patience")),
+                  int(get("retries")), get("effect") != "unsafe")  # fmt: skip
+
+
+def _rules(element: etree._Element) -> ClassRules:
+    return ClassRules(element.get("effect"), "zone", microseconds(element.get("window", "0s")))
+
+
+def _fault(element: etree._Element) -> Fault:
+    get = element.get
+    return Fault(get("kind"), microseconds(get("at")), microseconds(get("for", "0s")),
+                 microseconds(get("every", "0s")), share(get("boxes", "100%")), int(get("node", "0")),
+                 share(get("size", "100%")))  # fmt: skip
+
+
+def _side(element: etree._Element) -> Side:
+    settings = element.find("cedarmill")
+    text = etree.tostring(settings, with_tail=False) if settings is not None else b""
+    return Side(element.get("name"), element.get("honours") == "on", text)
