Play arrivals of a trace in the laboratory; test a close that races a reset

Change: load/@trace names a file of due times; 40 closes and resets at one moment, in both orders, over sockets; reqs sent ahead of a leave.

--- a/cedarmill/lab/load.py
+++ b/cedarmill/lab/load.py
@@ -93,7 +93,8 @@
     """All clients of a run, spread over the first nodes."""
 
     def __init__(self, clock: Callable[[], int], seeds: numpy.random.SeedSequence, habits: tuple[Habits, ...],
-                 rate: float, ports: Callable[[], list[int]], leave_by: str) -> None:  # fmt: skip
+                 rate: float, ports: Callable[[], list[int]], leave_by: str,
+                 trace: tuple[int, ...] = ()) -> None:  # fmt: skip
         self.clock, self.habits, self.rate, self.ports, self.leave_by = clock, habits, rate, ports, leave_by
         streams = [numpy.random.Generator(numpy.random.PCG64(seed)) for seed in seeds.spawn(3)]
         self.arrivals, self.traits, self.waits = streams  # apart: one more draw here moves none there
@@ -105,6 +106,7 @@
         self._jobs, self._ids, self._turns = itertools.count(1), itertools.count(1), itertools.count()
         self._plans: dict[int, tuple[Habits, float, int, int | None]] = {}
         self._next = 0.0
+        self._trace = iter(trace) if trace else None
         self._tasks: set[asyncio.Task] = set()
 
     def start(self, until: int) -> None:
@@ -113,7 +115,10 @@
         self._schedule()
 
     def _schedule(self) -> None:
-        self._next += self.arrivals.exponential(1e6 / self.rate)
+        if self._trace is not None:
+            self._next = next(self._trace, self.until)
+        else:
+            self._next += self.arrivals.exponential(1e6 / self.rate)
         if self._next < self.until:
             wait = max(0.0, self._next - self.clock()) / 1e6
             asyncio.get_running_loop().call_later(wait, self._arrive, int(self._next))
--- a/cedarmill/lab/run.py
+++ b/cedarmill/lab/run.py
@@ -120,6 +120,7 @@
             scenario.rate,
             lambda: [self.nodes[0].port.result()],
             scenario.leave_by,
+            scenario.trace,
         )
 
     async def play(self, folder: Path) -> Story:
--- a/cedarmill/lab/scenario.py
+++ b/cedarmill/lab/scenario.py
@@ -57,6 +57,7 @@
     fleet: Fleet
     nodes: int
     rate: float
+    trace: tuple[int, ...]  # when calls are due, where the file gives them; else they come by the rate
     leave_by: str
     habits: tuple[Habits, ...]
     rules: dict[str, ClassRules]
@@ -93,7 +94,7 @@
             raise ConfError(f"{path}:{element.sourceline}: <fault> node: there are {nodes}, counted from 0")
     return Scenario(
         path.stem, root.get("about"), microseconds(root.get("length")), _fleet(root.find("fleet")), nodes,
-        float(root.find("load").get("rate")), root.find("load").get("leave-by"),
+        float(root.find("load").get("rate")), _trace(path, root.find("load")), root.find("load").get("leave-by"),
         tuple(map(_habits, classes)), {element.get("name"): _rules(element) for element in classes},
         {element.get("name"): float(element.get("worth")) for element in classes}, faults, sides,
     )  # fmt: skip
@@ -104,6 +105,22 @@
     return Fleet(*counts, float(element.get("slowest")), float(element.get("fastest")))
 
 
+def _trace(path: Path, element: etree._Element) -> tuple[int, ...]:
+    """The times of a trace: a file beside the scenario with one duration a line, in order."""
+    if (name := element.get("trace")) is None:
+        return ()
+    times: list[int] = []
+    file = path.parent / name
+    for number, line in enumerate(file.read_text().split(), 1):
+        try:
+            times.append(microseconds(line))
+        except ValueError as error:
+            raise ConfError(f"{file}:{number}: {error}") from None
+        if times[-2:] != sorted(times[-2:]):
+            raise ConfError(f"{file}:{number}: {line} comes before the line above it")
+    return tuple(times)
+
+
 def _habits(element: etree._Element) -> Habits:
     get = element.get
     return Habits(get("name"), share(get("part")), microseconds(get("budget")), microseconds(get("work")),
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -152,6 +152,27 @@
         self.assertNotEqual(arrivals(7), arrivals(8))
 
 
+class TraceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_calls_come_when_the_trace_says_and_a_bad_trace_is_named(self):
+        """A day that was seen is played again as it was, not as a rate of the same mean."""
+        good = (Path(read.__code__.co_filename).parent / "scenarios/rehearsal.xml").read_text()
+        with tempfile.TemporaryDirectory() as folder:
+            path, trace = Path(folder) / "day.xml", Path(folder) / "day.txt"
+            path.write_text(good.replace("<load ", '<load trace="day.txt" '))
+            trace.write_text("1ms\n1ms\n3ms\n")
+            scenario = read(str(path))
+            for text, words in (("1ms 2", "day.txt:2: '2' is no"), ("2ms 1ms", "day.txt:2: 1ms comes before")):
+                trace.write_text(text)
+                with self.assertRaisesRegex(ConfError, words):
+                    read(str(path))
+        seeds, due, over = numpy.random.SeedSequence(1), [], asyncio.Event()
+        load = Load(lambda: 0, seeds, scenario.habits, 1.0, list, "close", scenario.trace)
+        load._try = lambda job, at, *_: (due.append(at), len(due) == 3 and over.set())
+        load.start(1_000_000)
+        await asyncio.wait_for(over.wait(), 10)
+        self.assertEqual(due, [1_000, 1_000, 3_000])
+
+
 class RunTest(unittest.TestCase):
     def test_a_rehearsal_runs_prints_its_table_and_leaves_a_report(self):
         """Real nodes, a hang, resets and a drain: every rule kept; the report can be made again."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import select
 import signal
 import socket
 import subprocess
@@ -36,6 +37,35 @@
         return sock
 
 
+class Racing(LeavingCase):
+    def test_a_close_and_a_reset_at_one_moment_start_nothing_late(self):
+        """The reset lets a keyed req be sent again, the close forbids it: both orders."""
+        for number in range(40):
+            client = self.client().ask()
+            asked = self.servers[0].next()
+            both = [client.close, asked.wire.reset]
+            for happening in both if number % 2 else reversed(both):
+                happening()
+            left = time.monotonic()
+            while time.monotonic() < left + 0.03:
+                if not self.servers[0].asked.empty():
+                    self.servers[0].next()
+                    self.assertLess(time.monotonic() - left, 0.025)  # a copy that was on its way
+                select.select([], [], [], 0.001)
+        self.process.send_signal(signal.SIGUSR1)
+        self.wait_log("spent for nobody")
+
+    def test_reqs_behind_one_whose_client_left_do_not_start(self):
+        """Sent ahead on the same session, they wait there; its end is theirs."""
+        sock = self.raw_client()
+        sock.sendall(raw(1) + raw(2) + raw(3))
+        asked = self.servers[0].next()
+        sock.close()
+        self.assertTrue(asked.wire.ended.wait(WAIT))
+        client = self.client().ask()
+        self.assertEqual(self.servers[0].next().headers["X-Call-Id"], f"{client.count:016x}")
+
+
 class HeldByte(LeavingCase):
     log_format = "json"
 
