--- a/cedarmill/lab/scenario.py
+++ b/cedarmill/lab/scenario.py
@@ -92,9 +92,10 @@
     for element, fault in zip(root.findall("fault"), faults, strict=True):
         if fault.kind == "kill-node" and fault.node >= nodes:
             raise ConfError(f"{path}:{element.sourceline}: <fault> node: there are {nodes}, counted from 0")
+    clients = root.find("load")
     return Scenario(
         path.stem, root.get("about"), microseconds(root.get("length")), _fleet(root.find("fleet")), nodes,
-        float(root.find("load").get("rate")), _trace(path, root.find("load")), root.find("load").get("leave-by"),
+        float(clients.get("rate")), _trace(path, clients), clients.get("leave-by"),
         tuple(map(_habits, classes)), {element.get("name"): _rules(element) for element in classes},
         {element.get("name"): float(element.get("worth")) for element in classes}, faults, sides,
     )  # fmt: skip
