--- a/cedarmill/conf/settings.py
+++ b/cedarmill/conf/settings.py
@@ -1,11 +1,12 @@
 """cedarmill.xml to the value types, and back to a list of what holds and where it came from."""
 
 import dataclasses
+import ipaddress
 from pathlib import Path
 from typing import NamedTuple
 
 from cedarmill.conf.document import ConfError, duration, load, microseconds, share
-from cedarmill.values import DeadlineOptions, KindOptions, Options
+from cedarmill.values import DeadlineOptions, HealthOptions, KindOptions, Options
 
 
 class Held(NamedTuple):
@@ -49,6 +50,14 @@
 }
 
 
+def _is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 class Settings:
     """What one file sets, on top of the defaults; `held` lists all of it."""
 
@@ -56,7 +65,7 @@
         self.path = path
         self.held: list[Held] = []
         self._root = load(path, "cedarmill") if path is not None else None
-        self.options = Options(self._deadlines(), self._kinds(), self._ledger())
+        self.options = Options(self._deadlines(), self._health(), self._kinds(), self._ledger())
 
     def _find(self, place: str):
         return None if self._root is None else self._root.find(place)
@@ -105,6 +114,18 @@
                            element if element.get(field) else None)  # fmt: skip
         return kinds
 
+    def _health(self) -> HealthOptions:
+        """The listeners for checkers: numeric addresses, since a node looks no names up."""
+        found = {}
+        for name in ("agent", "http"):
+            place = _Place(f"health/{name}", "listen", _TEXT, lambda value: value or "off")
+            found[name] = self._value(place, "")
+            host, _, port = found[name].rpartition(":")
+            if found[name] and not (_is_address(host.strip("[]")) and int(port) < 65536):
+                where = self._origin(self._find(place.path))
+                raise ConfError(f"{where}: <{name}> listen: {found[name]!r} is not ADDRESS:PORT")
+        return HealthOptions(**found)
+
     def _ledger(self) -> int:
         place = _Place("ledger", "every", microseconds, duration)
         every = self._value(place, Options().ledger_every_us)
--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -217,6 +217,12 @@
         """Whether a probe may still be written: not for a client's sake alone that has left."""
         return probe.req is None or probe.req.claim.state is not budgets.State.LEFT
 
+    def room(self) -> float:
+        """The share of all listed backends' slots that the module believes to be free of own work."""
+        listed = [worker for worker in self.brain.workers.values() if worker.listed]
+        slots = sum(worker.slots for worker in listed)
+        return sum(max(0.0, worker.slots - worker.held) for worker in listed) / slots if slots else 0.0
+
     # Brain.
 
     def _tell(self, now: int, event: api.Event, req: Req | None = None) -> None:
--- a/cedarmill/log.py
+++ b/cedarmill/log.py
@@ -28,6 +28,7 @@
     "reloaded": Event(logging.INFO, "reloaded: the director is at {host} port {port}"),
     "reload-failed": Event(logging.ERROR, "reload failed, the old configuration holds: {reason}"),
     "reload-ignored": Event(logging.WARNING, "reload: a change of {names} takes a restart"),
+    "health": Event(logging.INFO, "health by {kind} on {host} port {port}"),
     "watching": Event(logging.INFO, "director: watching from index {index} at {host} port {port}"),
     "watch-lost": Event(logging.WARNING, "director: watch lost ({reason}), the last list holds"),
     "entry-passed-over": Event(logging.WARNING, "director: entry {name} passed over: {reason}"),
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -16,12 +16,13 @@
 from cedarmill.log import say
 from cedarmill.net.backends import Backends
 from cedarmill.net.clients import Clients
-from cedarmill.net.config import Config, ConfigError
+from cedarmill.net.config import Address, Config, ConfigError
 from cedarmill.net.director import Director
 from cedarmill.net.turn import Turn
 from cedarmill.values import Options
 
 OWN_DESCRIPTORS = 24  # the loop's, the log, the listening socket, the director: 14 were counted
+HEALTH_DESCRIPTORS = 33  # of a listener for checkers: its socket and 32 sessions
 OWN_MEMORY_MB = 24  # measured: 16 to 20 before the first session
 SESSION_MB = 0.096  # measured: 0.07 with a body of 64 KiB that waits for its end
 ACCEPT_ON_US = 600_000  # after SIGTERM: new connections come for up to 0.4 s more
@@ -46,6 +47,7 @@
         self.deadlines = Deadlines()
         self.turn = Turn(self.loop, self.deadlines)
         sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        sockets -= HEALTH_DESCRIPTORS * (bool(options.health.agent) + bool(options.health.http))
         sessions = (sockets - OWN_DESCRIPTORS) // 2
         in_memory = int((config.limits.memory_mb - OWN_MEMORY_MB) / SESSION_MB)
         self.budget = Budget(options.deadlines, len(settings.classes))
@@ -58,12 +60,28 @@
             adapter.dispatch = self.dispatch
         self.draining = False
 
+    def _listen_for_checkers(self) -> None:
+        """The listeners of other installations; raises OSError."""
+        options = self.options.health
+        if not (options.agent or options.http):
+            return
+        from cedarmill.net import health  # the platform's run has no use for it
+
+        told = health.Self(self.config.name, self.clients)
+        for kind, text in ((health.AgentSession, options.agent), (health.HttpSession, options.http)):
+            if text:
+                listener = health.Listener(self.turn, told, kind)
+                listener.listen(Address.parse(text))
+                name = "agent" if kind is health.AgentSession else "http"
+                say("health", kind=name, host=Address.parse(text).host, port=listener.port)
+
     def run(self) -> None:
         """Serve until a signal has been obeyed; raises OSError where the address cannot be had."""
         obey = {signal.SIGHUP: self._reload, signal.SIGUSR1: self._account}
         for number in SIGNALS:
             self.loop.add_signal_handler(number, obey.get(number, self._drain))
         self.clients.listen(self.config.listen)
+        self._listen_for_checkers()
         self.director.first(self.config.known)
         self.deadlines.add(self.turn.now() + self.options.ledger_every_us, self._account_again)
         self.loop.call_soon(self._started)
--- a/cedarmill/values.py
+++ b/cedarmill/values.py
@@ -40,11 +40,20 @@
     speaks: str = "executor"
 
 
+@dataclass(frozen=True, slots=True)
+class HealthOptions:
+    """Where a node tells balancers of its own health: HOST:PORT, or empty for nowhere."""
+
+    agent: str = ""
+    http: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Options:
     """All settings that are ours."""
 
     deadlines: DeadlineOptions = field(default_factory=DeadlineOptions)
+    health: HealthOptions = field(default_factory=HealthOptions)
     kinds: dict[str, KindOptions] = field(default_factory=dict)  # `*` stands for all that are not named
     ledger_every_us: int = 60_000_000  # between two events that tell what was spent for nobody
 
