Serve gRPC health over h2: Check, List and Watch, with news of a drain at once

Need: balancers that check by gRPC. Sessions that have asked something good may rest for 60 s between checks.

Measured: grpcio's own client does Check, List and Watch against the real node in the tests, an unknown service and a drain included; rubbish and HTTP/1.1 are ended. Ruled out: grpcio's server, it brings threads of its own.

--- a/cedarmill/conf/settings.py
+++ b/cedarmill/conf/settings.py
@@ -117,7 +117,7 @@
     def _health(self) -> HealthOptions:
         """The listeners for checkers: numeric addresses, since a node looks no names up."""
         found = {}
-        for name in ("agent", "http"):
+        for name in ("agent", "http", "grpc"):
             place = _Place(f"health/{name}", "listen", _TEXT, lambda value: value or "off")
             found[name] = self._value(place, "")
             host, _, port = found[name].rpartition(":")
--- a/cedarmill/net/health.py
+++ b/cedarmill/net/health.py
@@ -12,6 +12,7 @@
 
 SESSIONS = 32  # open at once on each listener: a checker that connects by hundreds gets the rest closed
 SESSION_US = 3_000_000  # for a session to ask, and to read what it gets
+IDLE_US = 60_000_000  # afterwards, between two checks on one connection
 MAX_HEAD = 8 * 1024
 PATHS = ("/livez", "/readyz", "/healthz")
 BAD = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -79,6 +80,11 @@
         self.listener.sessions.discard(self)
         self.parser = None
 
+    def rest(self) -> None:
+        """It has asked something good: it may keep its connection for the next time."""
+        self.turn.deadlines.cancel(self.deadline)
+        self.deadline = self.turn.deadlines.add(self.turn.now() + IDLE_US, lambda now: self.abort())
+
     def finish(self, text: bytes) -> None:
         """Say the last, and let the checker close: closed here, unread input would reset it away."""
         self.over = True
@@ -150,7 +156,11 @@
                  *(f"{name}: {value}" for name, value in answer.headers)]  # fmt: skip
         head = "\r\n".join([*lines, "", ""]).encode("latin-1")
         text = head + (b"" if self.parser.get_method() == b"HEAD" else answer.body)
-        (self.transport.write if self.parser.should_keep_alive() else self.finish)(text)
+        if self.parser.should_keep_alive():
+            self.transport.write(text)
+            self.rest()
+        else:
+            self.finish(text)
 
 
 class Listener:
@@ -161,6 +171,9 @@
         self.sessions: set[Session] = set()
         self.port = 0
 
+    def changed(self) -> None:
+        """The node's health may have changed: for listeners whose checkers watch."""
+
     def listen(self, address: Address) -> None:
         """Bind and accept; raises OSError."""
         opening = self.turn.loop.create_server(lambda: self.kind(self), address.host, address.port)
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -47,7 +47,8 @@
         self.deadlines = Deadlines()
         self.turn = Turn(self.loop, self.deadlines)
         sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        sockets -= HEALTH_DESCRIPTORS * (bool(options.health.agent) + bool(options.health.http))
+        health = options.health
+        sockets -= HEALTH_DESCRIPTORS * sum(map(bool, (health.agent, health.http, health.grpc)))
         sessions = (sockets - OWN_DESCRIPTORS) // 2
         in_memory = int((config.limits.memory_mb - OWN_MEMORY_MB) / SESSION_MB)
         self.budget = Budget(options.deadlines, len(settings.classes))
@@ -59,21 +60,30 @@
         for adapter in (self.clients, self.backends, self.director):
             adapter.dispatch = self.dispatch
         self.draining = False
+        self.checkers: list = []
 
     def _listen_for_checkers(self) -> None:
         """The listeners of other installations; raises OSError."""
         options = self.options.health
-        if not (options.agent or options.http):
+        if not (options.agent or options.http or options.grpc):
             return
         from cedarmill.net import health  # the platform's run has no use for it
 
         told = health.Self(self.config.name, self.clients)
-        for kind, text in ((health.AgentSession, options.agent), (health.HttpSession, options.http)):
-            if text:
-                listener = health.Listener(self.turn, told, kind)
-                listener.listen(Address.parse(text))
-                name = "agent" if kind is health.AgentSession else "http"
-                say("health", kind=name, host=Address.parse(text).host, port=listener.port)
+        listeners = {}
+        if options.agent:
+            listeners["agent"] = health.Listener(self.turn, told, health.AgentSession)
+        if options.http:
+            listeners["http"] = health.Listener(self.turn, told, health.HttpSession)
+        if options.grpc:
+            from cedarmill.net.grpc import GrpcListener
+
+            listeners["grpc"] = GrpcListener(self.turn, told)
+        for kind, listener in listeners.items():
+            address = Address.parse(getattr(options, kind))
+            listener.listen(address)
+            say("health", kind=kind, host=address.host, port=listener.port)
+        self.checkers = list(listeners.values())
 
     def run(self) -> None:
         """Serve until a signal has been obeyed; raises OSError where the address cannot be had."""
@@ -131,6 +141,8 @@
         self.draining = True
         say("draining", held=self.dispatch.owed)
         self.clients.drain()
+        for listener in self.checkers:
+            listener.changed()
         self.deadlines.add(self.turn.now() + ACCEPT_ON_US, self._stop)
         self.turn.end()
 
--- a/cedarmill/values.py
+++ b/cedarmill/values.py
@@ -46,6 +46,7 @@
 
     agent: str = ""
     http: str = ""
+    grpc: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -7,6 +7,8 @@
 import socket
 import unittest
 
+import grpc
+from grpc_health.v1 import health_pb2, health_pb2_grpc
 from nodes import WAIT, NodeCase
 from test_conf import command
 
@@ -14,9 +16,12 @@
 from cedarmill.health.wire.agent import Admin, Status
 from cedarmill.health.wire.http import FAIL_AT_ONCE, JSON, Expected, judge
 
+Serving = health_pb2.HealthCheckResponse
+
 
 class Checked(NodeCase):
-    conf = '<health><agent listen="127.0.0.1:0"/><http listen="127.0.0.1:0"/></health>'
+    conf = ('<health><agent listen="127.0.0.1:0"/><http listen="127.0.0.1:0"/>'
+            '<grpc listen="127.0.0.1:0"/></health>')  # fmt: skip
 
     def setUp(self) -> None:
         super().setUp()
@@ -101,6 +106,45 @@
         self.assertEqual(self.get("/livez").status, 200)
 
 
+    def test_grpcs_own_client_checks_lists_and_watches_a_drain(self):
+        """A client that nobody here wrote: statuses, an unknown service, and news of a drain at once."""
+        with grpc.insecure_channel(f"127.0.0.1:{self.ports['grpc']}") as channel:
+            stub = health_pb2_grpc.HealthStub(channel)
+            ask = health_pb2.HealthCheckRequest
+            self.assertEqual(stub.Check(ask(), timeout=WAIT).status, Serving.SERVING)
+            listed = stub.List(health_pb2.HealthListRequest(), timeout=WAIT)
+            self.assertEqual(set(listed.statuses), {"", "cedarmill"})
+            with self.assertRaises(grpc.RpcError) as caught:
+                stub.Check(ask(service="other"), timeout=WAIT)
+            self.assertEqual(caught.exception.code(), grpc.StatusCode.NOT_FOUND)
+            unknown = stub.Watch(ask(service="other"), timeout=WAIT)
+            self.assertEqual(next(unknown).status, Serving.SERVICE_UNKNOWN)
+            watch = stub.Watch(ask(service="cedarmill"), timeout=WAIT)
+            self.assertEqual(next(watch).status, Serving.SERVING)
+            self.client().ask()
+            self.servers[0].next()
+            self.terminate()
+            self.assertEqual(next(watch).status, Serving.NOT_SERVING)
+            self.assertEqual(stub.Check(ask(), timeout=WAIT).status, Serving.NOT_SERVING)
+            unknown.cancel()
+            watch.cancel()
+
+    def test_what_is_no_grpc_is_ended(self):
+        """HTTP/1.1, rubbish, and a call with no message; the next client is served."""
+        for rubbish in (b"GET / HTTP/1.1\r\n\r\n", bytes(100)):
+            with socket.create_connection(("127.0.0.1", self.ports["grpc"]), timeout=WAIT) as sock:
+                sock.sendall(rubbish)
+                with contextlib.suppress(ConnectionResetError):
+                    while sock.recv(4096):
+                        pass
+        with grpc.insecure_channel(f"127.0.0.1:{self.ports['grpc']}") as channel:
+            codes = {"Check": grpc.StatusCode.INVALID_ARGUMENT, "What": grpc.StatusCode.UNIMPLEMENTED}
+            for path, code in codes.items():
+                call = channel.unary_unary(f"/grpc.health.v1.Health/{path}")
+                with self.assertRaises(grpc.RpcError) as caught:
+                    call(b"\xff\xff", timeout=WAIT)
+                self.assertEqual(caught.exception.code(), code)
+
     def test_the_command_asks_once_and_explains(self):
         """0 and 1 as exit codes for scripts, words for people; nothing that answers otherwise is healthy."""
         for words, code, expected in (
