--- a/cedarmill/cli/__init__.py
+++ b/cedarmill/cli/__init__.py
@@ -13,6 +13,8 @@
     def invoke(self, ctx: click.Context):
         try:
             return super().invoke(ctx)
+        except BrokenPipeError:  # the reader has seen enough: click ends quietly
+            raise
         except (ValueError, OSError) as error:  # ConfError and its like name file, line or field
             raise click.ClickException(" ".join(str(error).split())) from None
 
