Charge no cut to an attempt that could not be cut and answered

Cause: a read of the whole change: where a backend cannot cancel (kind none), an attempt that the module cut goes on, and its answer serves; the ledger still charged it as spent for nobody. Change: such an end is not charged; its test fails without the change. A margin's forget, which nothing called, goes, and a check that stood twice.

--- a/cedarmill/budget/machine.py
+++ b/cedarmill/budget/machine.py
@@ -165,7 +165,7 @@
 
     def _arrived(self, now: int, event: Arrived) -> list[Action]:
         claim = event.claim
-        if not self.options.worth_quantile or self.worth_starting(now, claim):
+        if self.worth_starting(now, claim):
             return []
         return [Deny(self.worth[claim.job_class].value())]
 
@@ -181,7 +181,7 @@
             return  # it cost no slot
         if claim.state in CAUSES:
             cause, wanted_till = CAUSES[claim.state], max(since, claim.since)
-        elif cut is not None:
+        elif cut is not None and event.outcome != Outcome.OK:  # one that could not be cut may still answer
             cause, wanted_till = Cause.CUT, max(since, cut)
         else:
             return
--- a/cedarmill/budget/margins.py
+++ b/cedarmill/budget/margins.py
@@ -68,7 +68,3 @@
         """A deadline was obeyed so much after it was due (us)."""
         if self.learned:
             self.lag.learn(max(0, by))
-
-    def forget(self, worker: int) -> None:
-        """A backend has gone."""
-        self.trips.pop(worker, None)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -53,7 +53,8 @@
     def test_a_malformed_one_is_refused_whatever_else_is_there(self):
         """To pass over what cannot be read would be to guess how long a client waits."""
         for name, value in (("grpc_timeout", "5"), ("grpc_timeout", "123456789S"), ("grpc_timeout", "-1S"),
-                            ("x_budget_ms", "1e3"), ("x_budget_ms", ""), ("x_deadline_unix_ms", "soon"),
+                            ("x_budget_ms", "1e3"), ("x_budget_ms", ""),
+                            ("x_budget_ms", "0"), ("x_deadline_unix_ms", "soon"),
                             ("x_envoy_expected_rq_timeout_ms", "9" * 16)):  # fmt: skip
             with self.subTest(name, value=value), self.assertRaisesRegex(BadDeadline, name.replace("_", "-")):
                 read(**{"x_budget_ms": "100", name: value})
@@ -252,6 +253,14 @@
         self.assertEqual(self.rows(), [Row(0, Cause.LEFT, 1, 1_000_000, 800_000, 0)])
         self.assertEqual((self.ports.answers, self.dispatch.reqs), ([], {}))
 
+    def test_one_that_could_not_be_cut_and_answers_was_spent_for_somebody(self):
+        """The module cuts, the backend goes on, and its answer serves: nothing to charge."""
+        req = self.out()
+        self.ports.cancel = lambda attempt, now_or_never=False: now_or_never
+        self.dispatch._cancel(300_000, api.Cancel(req.id, 0))
+        self.dispatch.ended(800_000, req.attempts[0], Outcome.OK, None, b"x")
+        self.assertEqual((self.ports.answers, self.rows()), ([("served", b"x")], []))
+
     def test_the_ledger_tells_each_cause_and_begins_anew(self):
         """Cut by the module, and overdue; what a blind cancel leaves running is guessed by the mean."""
         for _ in range(20):
