Send cold newcomers what they stand: others' slots, a part by traffic, cost by the hint

Brain._warm_enough is to blame: a newcomer counted for one slot, and each of 40 nodes had an even part of its budget, 0.02 of a job, though few nodes try in a window and some carry 40 times the traffic of others. busy[0]/busy[1] as the part is ruled out: summed over the nodes it was 2.9.

Change: a newcomer has the slots that others of its kind have shown; a node's part is its traffic over the tenants' quotas, at least an even one; a job costs what its hint says, so heavy ones seldom go there.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -51,6 +51,7 @@
         self.errors, self.idle, self.run = 0.0, 1.0, self.means[0][0]  # means over all workers
         columns = {name: n for n, name in enumerate(settings.report_fields)}
         self.slots_at, self.memory_at = columns.get("free_slots", -1), columns.get("free_memory", -1)
+        self.slots: dict[int, float] = {}  # most ever seen at a worker of each kind
         self.left: list[Worker] = []  # where own jobs ended last
         self.pays, self.top = PAYS_START, max(spec.worth for spec in settings.classes) or 1.0
         self.handlers = {
@@ -82,6 +83,7 @@
             # where starts go untold, own jobs that wait look like slots: only free ones are sure
             sure = worker.base if self.settings.tells_start else math.floor(free + 0.5)
             worker.slots = max(worker.slots, sure)
+            self.slots[worker.kind] = max(self.slots.get(worker.kind, 1.0), worker.slots)
             held = own, worker.slots - free
             self.idle += (free / worker.size - self.idle) / (2 * MEMORY)
             self.busy = [b + (h - b) / (8 * MEMORY) for b, h in zip(self.busy, held, strict=True)]
@@ -331,12 +333,24 @@
             return True
         share = s.cold_share + (1 - s.cold_share) * max(0, age - s.overload_window_us) / s.cold_us
         worker.cold_log = [entry for entry in worker.cold_log if entry[0] > self.now - s.overload_window_us]
-        budget = COLD_MARGIN * s.fall_multiple * share * worker.slots * s.overload_window_us / s.instances
+        stands = s.fall_multiple * share * max(worker.slots, self.slots.get(worker.kind, 1.0))
+        budget = COLD_MARGIN * stands * s.overload_window_us * self._part()
         if self.now - worker.drawn_at > s.overload_window_us:  # parts of a job: by chance, anew each window
             worker.drawn_at, worker.luck = self.now, self.random.random()
-        cost = request.slots * self.means[request.index][0]
+        cost = self._work(request)
         return cost + sum(w for _, w in worker.cold_log) <= budget + worker.luck * cost
 
+    def _work(self, request: Request) -> float:
+        """Slot-time that a job is likely to take, by its hint where it has one."""
+        return request.slots * (request.hint_us * math.exp(self.means[request.index][1]) if request.hint_us
+                                else self.means[request.index][0])
+
+    def _part(self) -> float:
+        """This dispatcher's part of all traffic: at least an even one, else what it sees of the quotas."""
+        quota = sum(tenant.quota_per_s for tenant in self.settings.tenants) * TENANT_WINDOW / 1e6
+        seen = sum(load * math.exp((since - self.now) / TENANT_WINDOW) for load, since in self.loads)
+        return max(1 / self.settings.instances, min(1.0, seen / quota) if quota else 0.0)
+
     def _send(self, request: Request, worker: Worker, cut: bool = False) -> bool:
         if not self._may_send(request, worker):
             return False
@@ -349,7 +363,7 @@
         request.asks = 0
         attempt.hold(1)
         if worker.since:
-            worker.cold_log.append((self.now, request.slots * self.means[request.index][0]))
+            worker.cold_log.append((self.now, self._work(request)))
         self.actions.append(api.Send(request.id, worker.id))
         return True
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,51 @@
+"""Faults of a large fleet: many modules side by side on one seeded clock, counted over all of them."""
+
+import unittest
+
+from fleet import SLOTS, Fleet, S
+
+from cedarmill.decisions.interface import WorkerState
+
+
+def replace(fleet: Fleet, count: int, at: float) -> list:
+    """Drain so many boxes, and start as many cold ones in their places half a second later."""
+    old, new = fleet.random.sample(fleet.untouched, count), []
+    fleet.untouched = [box for box in fleet.untouched if box not in old]
+
+    def come() -> None:
+        new.extend(fleet.add_box(box.kind, box.zone, since=fleet.now) for box in old)
+        fleet.at(fleet.now + S, lambda: fleet.news(*new))
+
+    fleet.at(at * S, lambda: fleet.news(*old, state=WorkerState.DRAINING))
+    fleet.at((at + 0.5) * S, come)
+    return new
+
+
+class MassReplacement(unittest.TestCase):
+    """Six in ten backends are replaced within 7 s, as in a release."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = Fleet(load=0.62, seed=3)
+        first, second = replace(cls.fleet, 18, 6), replace(cls.fleet, 18, 9)
+        cls.fleet.run(24)
+        cls.new = first + second
+
+    def test_cold_newcomers_carry_jobs_before_they_are_warm(self) -> None:
+        """Each node took an even part of one slot's budget, so nearly all stayed idle for 9 s."""
+        used = sum(work for box in self.new for at, work in box.taken if 2 * S < at - box.since < 6 * S)
+        could = sum(SLOTS * box.speed * box.share(box.since + 4 * S) * 4 * S for box in self.new)
+        self.assertGreater(used / could, 0.2)
+
+    def test_all_nodes_together_send_them_no_more_than_they_stand(self) -> None:
+        """By windows: single heavy jobs are beyond any budget, so the mean of the boxes counts."""
+        for age in (1.5, 3, 4.5, 6):
+            pressures = [box.pressure(box.since + int(age * S)) for box in self.new]
+            self.assertLess(sum(pressures) / len(pressures), 0.6)
+
+    def test_the_fleet_serves_on_while_it_is_replaced(self) -> None:
+        self.assertGreater(self.fleet.in_time(8, 14), 0.72)
+
+
+if __name__ == "__main__":
+    unittest.main()
