Back off from an overbooked discovery: ask by chance over all nodes, doubled by each failure

Brain._listed is to blame: its wait never grew beyond 1.5 s.

Change: a call goes out at a time by chance within 50 ms for each node of the fleet (2 s for 40), doubled by each failure, up to 20 s, half of what rule 3 leaves after a failure.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -31,6 +31,7 @@
 ASK = 2  # workers probed at once for a job that sees no fresh idle slot
 ASK_WAIT = 0.06  # connect time-outs that it waits for their answers
 FRESH = 0.5  # mean running times for which news of a worker are believed without asking it again
+ASK_SPAN = 50_000  # us for each dispatcher, over which all ask for the list; doubled by each failure
 BACK = 0.25  # of a job's slack, after which a refused client may come back
 FADE = 8.0  # mean running times in which they fade into the mean; in 3 times that nothing is left of them
 
@@ -454,11 +455,15 @@
         if (request := self.requests.get(event.request)) is not None:
             self._finish(request)
 
+    def _ask_list(self, factor: float) -> None:
+        """Ask at a time by chance: all dispatchers lose the list at once, and discovery serves few calls."""
+        span = min(ASK_SPAN * self.settings.instances * factor, 2.0 * self.settings.ask_within_us)
+        self._arm(int(span * self.random.random()), lambda: self.actions.append(api.Subscribe()))
+
     def _listed(self, event: api.WorkerList) -> None:
         if event.kind == ListKind.FAILED:
-            self.list_failures = min(self.list_failures + 1, 2)
-            wait = self.settings.ask_within_us / 40 * 2**self.list_failures * self.random.uniform(0.5, 1.5)
-            self._arm(int(wait), lambda: self.actions.append(api.Subscribe()))
+            self.list_failures += 1
+            self._ask_list(2.0**self.list_failures)
             return
         self.list_failures = 0
         for entry in event.entries:
@@ -477,6 +482,6 @@
             named = {entry.worker for entry in event.entries}
             for worker in [worker for worker in self.workers.values() if worker.id not in named]:
                 self.pools.leave(worker)
-        if event.kind == ListKind.CACHED:
-            self.actions += [api.Subscribe()] * self.settings.on_request_discovery
+        if event.kind == ListKind.CACHED and self.settings.on_request_discovery:
+            self._ask_list(1.0)
         self._pump()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 from fleet import SLOTS, Fleet, S
 
+from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import WorkerState
 
 
@@ -65,5 +66,44 @@
         self.assertLess(to_bad, 0.7 * len(self.bad) / len(self.fleet.boxes))
 
 
+class Overbooked(Fleet):
+    """Its discovery takes 0.3 s for a call, in turn: one that has waited for 2 s fails, as does a ninth."""
+
+    def __init__(self, **more) -> None:
+        self.free_at = self.calls = 0
+        self.listed: dict[int, int] = {}
+        super().__init__(**more)
+
+    def _subscribe(self, node: int, action: api.Subscribe) -> None:
+        self.calls += 1
+        waits = max(0, self.free_at - self.now)
+        if waits > 8 * 0.3 * S:
+            self.at(self.now, lambda: self.tell(node, api.WorkerList(api.ListKind.FAILED, [])))
+            return
+        self.free_at = self.now + waits + 0.3 * S  # whether or not somebody still waits for it
+        if waits > 2 * S:
+            self.at(self.now + 2 * S, lambda: self.tell(node, api.WorkerList(api.ListKind.FAILED, [])))
+        else:
+            self.at(self.free_at, lambda: self._answer(node))
+
+    def _answer(self, node: int) -> None:
+        self.listed.setdefault(node, self.now)
+        self.tell(node, api.WorkerList(api.ListKind.DELTA, []))
+
+
+class SynchronisedRestart(unittest.TestCase):
+    """All nodes start at once, and discovery serves a few calls a second."""
+
+    def test_every_node_has_its_list_before_rule_3_counts_it_as_told(self) -> None:
+        """Asking again within 1.5 s kept it overbooked: 521 of 569 calls failed, and lists stayed old."""
+        for seed in range(5):
+            fleet = Overbooked(load=0.01, seed=seed)
+            fleet.run(40)
+            self.assertEqual(len(fleet.listed), 40)
+            self.assertLess(max(fleet.listed.values()), 4 * fleet.settings[0].ask_within_us)
+            self.assertLess(sorted(fleet.listed.values())[30], 25 * S)
+            self.assertLess(fleet.calls, 4 * 40)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -214,6 +214,7 @@
 
     def test_what_still_connects_for_who_has_left_is_let_go(self):
         """The probe asked for its sake too: it would cost the backend work once the connect comes up."""
+        self.director.next()  # its connection counts among those that stay
         client = self.client()
         client.connect()
         self.wait_for(lambda: self.descriptors())
