--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -314,6 +314,8 @@
         if event.outcome == Outcome.OK:
             worker.trial_at, worker.heard_at = min(worker.trial_at, self.now), self.now
             self._learn(worker, event.report)
+        elif event.outcome in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT):
+            self._strike(worker)
         if request is not None and request.asking and not request.done:
             request.asking -= 1
             if not self._ill(worker) and self._room(worker, request)[0] and self._send(request, worker):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -23,6 +23,7 @@
 SLOTS, PLACES = 2, 14  # of a backend: jobs that run, jobs that wait
 COLD_US, COLD_SHARE, FALL, WINDOW_US = 9 * S, 0.3, 2.5, 1_500_000
 TRIP_US = 600  # there and back
+CONNECT_US = 250_000  # after which a connect has failed
 FAST_ERROR_US = 5_000
 SKEW = (0.5, 0.27, 0.13, 0.1)  # of the traffic, by zone
 OFFSET = 1_000 * S  # of the modules' clock
@@ -48,7 +49,7 @@
     reports: deque = field(default_factory=deque)  # when it can be read, what it says
     taken: list = field(default_factory=list)  # time, work: all that has reached it
     errors: float = 0.0
-    gone: bool = False
+    gone: bool = False  # vanished: it says nothing, connects to it never come up
 
     def share(self, now: int) -> float:
         """Of its capacity, what it has at that time."""
@@ -89,6 +90,7 @@
         capacity = sum(SLOTS * box.speed for box in self.boxes.values())
         self.rate = load * capacity / (0.52 * WORK_US[0] + 0.48 * WORK_US[1])  # jobs in a microsecond
         self.sent: list[tuple[int, int, Box, Job]] = []  # time, node, where, what
+        self.unanswered = 0  # attempts and probes that met a box that had vanished
         self.probes = self.refused = self.failed = 0
         self.worth = defaultdict(lambda: [0.0, 0.0])  # work served in time and asked for, by second
         quota = self.rate * S / 0.9
@@ -218,7 +220,8 @@
         ready = box.reports and box.reports[0][0] <= self.now
         report = box.reports[0][1] if ready and not box.gone else None
         answer = api.ProbeEnded(box.number, Outcome.CONNECT_FAILED if box.gone else Outcome.OK, report)
-        self.at(self.now + TRIP_US, lambda: self.tell(node, answer))
+        self.unanswered += box.gone
+        self.at(self.now + (CONNECT_US if box.gone else TRIP_US), lambda: self.tell(node, answer))
 
     def _end(self, node: int, number: int, attempt: int, outcome: Outcome) -> None:
         if (node, number, attempt) in self.ended:
@@ -243,7 +246,8 @@
 
     def _reach(self, box: Box, job: Job, node: int, number: int, attempt: int) -> None:
         if box.gone:
-            self._end(node, number, attempt, Outcome.CONNECT_FAILED)
+            self.unanswered += 1
+            self.at(self.now + CONNECT_US, lambda: self._end(node, number, attempt, Outcome.CONNECT_FAILED))
             return
         box.taken.append((self.now, job.work))
         if self.random.random() < box.error_share:
@@ -262,6 +266,8 @@
         self.at(self.now + took, lambda: self._done(box, node, number, attempt))
 
     def _done(self, box: Box, node: int, number: int, attempt: int) -> None:
+        if box.gone:
+            return  # it says nothing more
         box.running -= 1
         if box.queue:
             self._start(box, *box.queue.popleft())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -97,6 +97,21 @@
     return sum(value for zone, value in pairs if zone == 0) / sum(value for _, value in pairs)
 
 
+class ZoneLoss(unittest.TestCase):
+    """All backends of one zone vanish; the list tells 8 s later."""
+
+    def test_a_probe_that_does_not_connect_counts_as_much_as_a_job(self) -> None:
+        """Probes failed 200 times a second, and each node went on to probe and to send there."""
+        met = 0
+        for seed in (1, 2, 3):
+            fleet = Fleet(load=0.6, seed=seed)
+            lost = [box for box in fleet.boxes.values() if box.zone == 2]
+            fleet.at(6 * S, lambda lost=lost: [setattr(box, "gone", True) for box in lost])
+            fleet.run(14)
+            met += fleet.unanswered
+        self.assertLess(met / 3 / len(fleet.brains), 13)  # attempts and probes a node, for 15 backends
+
+
 class Overbooked(Fleet):
     """Its discovery takes 0.3 s for a call, in turn: one that has waited for 2 s fails, as does a ninth."""
 
