--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -231,7 +231,8 @@
                 tier = 3 if not trust else int(not near) if free or age > 3 * FADE * self.run else 2
                 idle |= age <= FRESH * self.run and tier < 2
                 best = min(best, tier)
-                weight = (free or room) / (1 + worker.held) ** 2 * (trust or worker.health)
+                # as many slots of a larger worker are free again sooner, so one that waits there waits less
+                weight = worker.size**2 * (free or room) / (1 + worker.held) ** 2 * (trust or worker.health)
                 options.append((tier, weight, worker))
             if idle:
                 break
@@ -252,6 +253,7 @@
         due = self.now + 4 * wait < request.deadline and self.settings.can_probe and request.asks < rounds
         if not unsure or not due:
             return False
+        unsure.sort(key=lambda worker: self.random.random() ** (1 / worker.size), reverse=True)
         request.asks, request.asking = request.asks + 1, len(unsure[:ASK])
         for worker in unsure[:ASK]:
             worker.asker = request
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -576,6 +576,20 @@
     assert run() == run()
 
 
+def test_the_larger_of_two_idle_workers_gets_more_and_is_asked_first_more_often():
+    """Both show two slots, but a slot of the larger is free again in half the time."""
+    d = Driver(entries=[entry(1, size=4.0), entry(2, size=2.0)])
+    for worker in (1, 2):
+        d.report(worker, 2)
+    assert 1.5 < (drawn := d.draw(300)).count(1) / drawn.count(2) < 8
+    asked = []
+    for seed in range(60):
+        entries = [entry(n, size=4.0 if n % 2 else 1.0) for n in range(1, 9)]
+        actions = Driver(entries=entries, seed=seed, can_probe=True).arrive(0)
+        asked += [a.worker % 2 for a in actions if isinstance(a, api.Probe)]
+    assert sum(asked) > 0.6 * len(asked) > 0
+
+
 # Full size: most workers are not heard of for long, and the cost of an event does not grow with the fleet.
 
 
