--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,72 @@
+"""The CPU of one event of the module at 12 and at 60 workers, in one run: `python benchmarks/fleet.py`.
+
+The figures that count are the ratios, pair by pair; the spread is that of the pairs.
+"""
+
+import statistics
+import sys
+import time
+from pathlib import Path
+from random import Random
+
+sys.path[:0] = [str(Path(__file__).parents[1]), str(Path(__file__).parents[1] / "tests")]
+
+from fleet import CLASSES, FIELDS, OFFSET  # noqa: E402
+
+from cedarmill.decisions import interface as api  # noqa: E402
+from cedarmill.decisions.brain import Brain  # noqa: E402
+
+PAIRS, JOBS = 9, 4_000
+GAP_US = 20_000  # between jobs: 50 a second at one node
+RUN_US = 400_000
+
+
+def settings(instances: int) -> api.Settings:
+    """Those of a node of the platform."""
+    return api.Settings(
+        instances=instances, zone=0, classes=CLASSES, cold_us=9_000_000, cold_share=0.3, fall_multiple=2.5,
+        overload_window_us=1_500_000, max_attempts=5, on_request_discovery=True, report_fields=FIELDS,
+        report_by_probe=True, may_duplicate=True, can_cancel=True, can_probe=True, tick_us=2_000)  # fmt: skip
+
+
+def play(workers: int, seed: int) -> float:
+    """Seconds of CPU for one job: its arrival, its probes, its end."""
+    random, brain = Random(seed), Brain(settings(40), seed)
+    ready = api.WorkerState.READY
+    entries = [api.WorkerEntry(n, ready, n % 4, n // 4, 0, 2.0 + n % 2) for n in range(workers)]
+    brain.handle(OFFSET, api.WorkerList(api.ListKind.CACHED, entries))
+    out: list[tuple[int, int, int]] = []  # due, request, worker
+    spent, now = 0.0, OFFSET
+
+    def take(event: api.Event) -> None:
+        nonlocal spent
+        began = time.process_time()
+        actions = brain.handle(now, event)
+        spent += time.process_time() - began
+        for action in actions:
+            if isinstance(action, api.Send):
+                out.append((now + RUN_US, action.request, action.worker))
+            elif isinstance(action, api.Probe):
+                report = (random.choice((0.0, 1.0, 2.0)) + random.random() / 100, 0.0, 0.0, 10.0)
+                take(api.ProbeEnded(action.worker, api.Outcome.OK, report))
+
+    for number in range(1, JOBS + 1):
+        now += GAP_US
+        while out and out[0][0] <= now:
+            _, request, worker = out.pop(0)
+            take(api.AttemptEnded(request, 0, worker, api.Outcome.OK, True))
+        take(api.RequestArrived(number, number % 2, 6_000_000, hint_us=RUN_US))
+    return spent / JOBS
+
+
+def main() -> None:
+    pairs = [(play(12, seed), play(60, seed)) for seed in range(PAIRS)]
+    for name, figures in (("12 workers", [a for a, _ in pairs]), ("60 workers", [b for _, b in pairs])):
+        low, middle, high = (f(figures) * 1e6 for f in (min, statistics.median, max))
+        print(f"{name}: {middle:.0f} us a job ({low:.0f} to {high:.0f})")
+    ratios = [b / a for a, b in pairs]
+    print(f"60 over 12: {statistics.median(ratios):.2f} ({min(ratios):.2f} to {max(ratios):.2f})")
+
+
+if __name__ == "__main__":
+    main()
--- a/cedarmill/net/backends.py
+++ b/cedarmill/net/backends.py
@@ -446,11 +446,14 @@
             return
         connection = Connection(self, exchange)
         self.connections.add(connection)
+        self.backends.connections += 1
         connection.open()
 
     def drop(self, connection: Connection) -> None:
         """Forget a connection."""
-        self.connections.discard(connection)
+        if connection in self.connections:
+            self.connections.remove(connection)
+            self.backends.connections -= 1
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -466,6 +469,7 @@
         self.turn, self.settings, self.bound, self.options = turn, settings, bound, options
         self.dispatch: Dispatch | None = None
         self.by_number: dict[int, Backend] = {}
+        self.connections = 0  # of all backends together: a sum over the fleet for each new one cost too much
         self.wary_until = 0
 
     def update(self, number: int, endpoint: Endpoint) -> None:
@@ -484,7 +488,7 @@
 
     def make_room(self) -> bool:
         """Keep to the bound: an idle connection elsewhere gives way to a new one."""
-        if sum(len(backend.connections) for backend in self.by_number.values()) < self.bound:
+        if self.connections < self.bound:
             return True
         fullest = max(self.by_number.values(), key=lambda backend: len(backend.idle))
         if not fullest.idle:
