Tell a director that comes and goes in one line, and leave 0.25 s before asking again

Cause: found by reading: each good line before a break made the next loss news, and with full jitter a small fleet asked again within 0.1 s, so a director that sends one line and breaks filled the log and was called on at once.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -469,15 +469,15 @@
         if (request := self.requests.get(event.request)) is not None:
             self._finish(request)
 
-    def _ask_list(self, factor: float) -> None:
+    def _ask_list(self, factor: float, least: int = 0) -> None:
         """Ask at a time by chance: all dispatchers lose the list at once, and discovery serves few calls."""
         span = min(ASK_SPAN * self.settings.instances * factor, 2.0 * self.settings.ask_within_us)
-        self._arm(int(span * self.random.random()), lambda: self.actions.append(api.Subscribe()))
+        self._arm(least + int(span * self.random.random()), lambda: self.actions.append(api.Subscribe()))
 
     def _listed(self, event: api.WorkerList) -> None:
         if event.kind == ListKind.FAILED:
             self.list_failures += 1
-            self._ask_list(2.0**self.list_failures)
+            self._ask_list(2.0**self.list_failures, self.settings.ask_within_us // 40)
             return
         self.list_failures = 0
         for entry in event.entries:
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/director.py
@@ -15,6 +15,7 @@
 CONNECT_US = 1_000_000
 CALL_US = 3_500_000  # for a call to be answered: calls wait their turn
 SILENCE_US = 3_500_000  # without a line: an empty one comes every 2 s
+QUIET_US = 30_000_000  # between two lines that tell of a lost watch: a director may come and go
 MAX_LINE = 4 * 1024 * 1024
 _LISTING = msgspec.json.Decoder(Listing)
 
@@ -117,7 +118,8 @@
         self.reader = ListReader(settings)
         self.index = 0
         self.current: Watch | None = None
-        self.healthy: bool | None = None
+        self.told: bool | None = None  # whether the log's last word is that it watches
+        self.quiet_until = 0
         self.entries: dict[int, api.WorkerEntry] = {}  # the list as it stands
 
     def first(self, known: Listing) -> None:
@@ -126,9 +128,9 @@
 
     def news(self, listing: Listing) -> None:
         """A line of the watch."""
-        if not self.healthy:
+        if not self.told:
             say("watching", index=listing.index, host=self.address.host, port=self.address.port)
-            self.healthy = True
+            self.told = True
         self._tell(listing, api.ListKind.FULL if listing.snapshot else api.ListKind.DELTA)
 
     def _tell(self, listing: Listing, kind: api.ListKind) -> None:
@@ -158,7 +160,7 @@
         before, self.current = self.current, None
         if before is not None:
             before.end("moved")
-        self.address, self.index, self.healthy = address, 0, None
+        self.address, self.index, self.told, self.quiet_until = address, 0, None, 0
         news = api.WorkerList(api.ListKind.CACHED, list(self.entries.values()))
         self.dispatch.listed(self.turn.now(), news)
 
@@ -167,7 +169,8 @@
         if watch is not self.current:
             return
         self.current = None
-        if self.healthy is not False:
+        now = self.turn.now()
+        if self.told is not False and now >= self.quiet_until:  # told late, if it stays lost
             say("watch-lost", reason=reason)
-            self.healthy = False
-        self.dispatch.listed(self.turn.now(), api.WorkerList(api.ListKind.FAILED, []))
+            self.told, self.quiet_until = False, now + QUIET_US
+        self.dispatch.listed(now, api.WorkerList(api.ListKind.FAILED, []))
