Obey a list that moves a backend to another zone or group

Need: a whole list that is well formed is true; a backend listed in another zone with the same start stayed in its old one, so a keyed req could go out again where its repeat is not known. Found by reading Brain._listed against the issue's list of bad input. Tests: the move, an empty whole list, truncated and over-long lists over sockets, told once in the log.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -488,6 +488,9 @@
                                 slots=old.slots if old else 1.0, base=1.0, waiting=WAITING_START,
                                 size=entry.size or 1.0, own=old.own if old else {}, listed=False)
                 self.workers[entry.worker] = worker
+            elif entry.state == WorkerState.READY and (entry.zone, entry.cell) != (worker.zone, worker.cell):
+                self.pools.leave(worker)  # the list is true; attempts out keep the group they were sent to
+                worker.zone, worker.cell = entry.zone, entry.cell
             if entry.state != WorkerState.READY:
                 self.pools.leave(worker)
             elif not worker.listed:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -509,6 +509,23 @@
     assert {a.worker for _ in range(20) for a in sends(d.arrive(0))} <= {2}
 
 
+def test_a_worker_that_the_list_moves_to_another_zone_is_there():
+    """The old zone stood for good: a keyed job could be sent again where its repeat is not known."""
+    d = Driver(keyed(Group.ZONE), workers=3)
+    d.feed(api.WorkerList(api.ListKind.DELTA, [entry(2, api.WorkerState.DRAINING)]))
+    d.feed(api.WorkerList(api.ListKind.DELTA, [entry(3, api.WorkerState.DRAINING)]))
+    assert sends(d.arrive(0))[0].worker == 1
+    d.feed(api.WorkerList(api.ListKind.FULL, [entry(2, zone=1), entry(3, zone=0)]))
+    assert [w.id for w in d.brain.pools.far] == [2] and [w.id for w in d.brain.pools.near] == [3]
+    assert [a.worker for a in sends(d.end(1, 1, Outcome.RESET))] == [3]
+
+
+def test_an_empty_whole_list_is_true():
+    d = Driver(workers=2)
+    d.feed(api.WorkerList(api.ListKind.FULL, []))
+    assert kinds(d.arrive(0)) == ["Refuse"]
+
+
 def test_subscription_is_asked_for_and_renewed_with_growing_jittered_waits():
     d = Driver(on_request_discovery=True, instances=4)
     assert kinds(d.first) == []
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -496,6 +496,20 @@
         self.assertIn(self.served_by(), (0, 1))
 
 
+    def test_truncated_and_over_long_lists_change_nothing_and_are_told_once(self):
+        """The last good list serves on, the node asks again by itself, and its log is not filled."""
+        for text in ('7\r\n{"index\r\n0\r\n\r\n', f"{5 << 20:x}\r\n" + "x" * (5 << 20)):
+            call = self.director.next()
+            call.head()
+            with contextlib.suppress(OSError):  # it hangs up before it has read them all
+                call.wire.send(text)
+            self.assertTrue(call.wire.ended.wait(WAIT))
+            self.assertIn(self.served_by(), (0, 1))
+        self.watch(7).line({"index": 8, "snapshot": False, "endpoints": []})
+        self.wait_log("watching from index 8")
+        self.assertEqual("".join(self.log).count("watch lost"), 1)
+
+
 class Reloading(NodeCase):
     backends = 2
 
