--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -112,6 +112,35 @@
         self.assertLess(met / 3 / len(fleet.brains), 13)  # attempts and probes a node, for 15 backends
 
 
+class ZoneReturn(unittest.TestCase):
+    """A zone that was lost comes back cold, idle by its reports and near to its nodes."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = fleet = Fleet(load=0.6, seed=4)
+        lost, cls.new = [box for box in fleet.boxes.values() if box.zone == 0], []
+
+        def come() -> None:
+            cls.new.extend(fleet.add_box(box.kind, box.zone, since=fleet.now) for box in lost)
+            fleet.at(fleet.now + S, lambda: fleet.news(*cls.new))
+
+        fleet.at(4 * S, lambda: [setattr(box, "gone", True) for box in lost])
+        fleet.at(8 * S, lambda: fleet.news(*lost, state=WorkerState.GONE))
+        fleet.at(10 * S, come)
+        fleet.run(20)
+
+    def test_it_is_not_knocked_over_by_all_nodes_together(self) -> None:
+        for age in (1.5, 3, 4.5, 6):
+            pressures = [box.pressure(box.since + int(age * S)) for box in self.new]
+            self.assertLess(sum(pressures) / len(pressures), 0.6)
+
+    def test_it_is_used_again_as_it_warms(self) -> None:
+        """With an even part of one slot for each node it stood idle till it was warm."""
+        work = [sum(w for at, w in box.taken if 2 * S < at - box.since < 6 * S) for box in self.new]
+        could = [SLOTS * box.speed * box.share(box.since + 4 * S) * 4 * S for box in self.new]
+        self.assertGreater(sum(work) / sum(could), 0.2)
+
+
 class Overbooked(Fleet):
     """Its discovery takes 0.3 s for a call, in turn: one that has waited for 2 s fails, as does a ninth."""
 
