Bound the doubled wait for the list, and trust hints only once a job has ended

Change: doubled 16 times at most (the longest wait is reached before); without a sample the class's mean counts.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -31,7 +31,8 @@
 ASK = 2  # workers probed at once for a job that sees no fresh idle slot
 ASK_WAIT = 0.06  # connect time-outs that it waits for their answers
 FRESH = 1.0  # mean running times for which news of a worker are believed without asking it again
-ASK_SPAN = 50_000  # us for each dispatcher, over which all ask for the list; doubled by each failure
+ASK_SPAN = 50_000  # us for each dispatcher, over which all ask for the list; doubled by each failure,
+ASK_DOUBLED = 16  # so many times: for the smallest fleet too the rest is beyond the longest wait
 ZONES = 10  # reports that the idle slots of the own zone and of the others are the mean of
 BACK = 0.25  # of a job's slack, after which a refused client may come back
 FADE = 8.0  # mean running times in which they fade into the mean; in 3 times that nothing is left of them
@@ -367,9 +368,9 @@
         return cost + sum(w for _, w in worker.cold_log) <= budget + worker.luck * cost
 
     def _work(self, request: Request) -> float:
-        """Slot-time that a job is likely to take, by its hint where it has one."""
-        return request.slots * (request.hint_us * math.exp(self.means[request.index][1]) if request.hint_us
-                                else self.means[request.index][0])
+        """Slot-time that a job is likely to take, by its hint once others show what hints are worth."""
+        mean, log, seen = self.means[request.index]
+        return request.slots * (request.hint_us * math.exp(log) if request.hint_us and seen else mean)
 
     def _part(self) -> float:
         """This dispatcher's part of all traffic: at least an even one, else what it sees of the quotas."""
@@ -476,7 +477,7 @@
 
     def _listed(self, event: api.WorkerList) -> None:
         if event.kind == ListKind.FAILED:
-            self.list_failures += 1
+            self.list_failures = min(self.list_failures + 1, ASK_DOUBLED)
             self._ask_list(2.0**self.list_failures, self.settings.ask_within_us // 40)
             return
         self.list_failures = 0
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -540,9 +540,26 @@
     assert len(set(delays)) == 6 and sum(delays[3:]) > sum(delays[:3])
 
 
+def test_discovery_that_is_away_for_hours_is_still_asked():
+    """The doubled wait was a float without bound: the 1,024th failure raised, and nothing was asked again."""
+    d = Driver(on_request_discovery=True)
+    for _ in range(1200):
+        actions = d.feed(api.WorkerList(api.ListKind.FAILED, []))
+    assert kinds(d.fire_all(actions, actions[0].delay_us)) == ["Subscribe"]
+
+
 # Rule 4: cold workers.
 
 
+def test_a_hint_says_nothing_of_the_time_a_job_takes_before_one_has_ended():
+    """The ratio to the hint starts as if hints were 1: a hint of 0.4 s stood for a day, and cold workers got none."""
+    d = Driver(entries=[entry(1, started_at=1_000_000_000)], instances=1, tells_start=False)
+    d.brain.workers[1].slots = 10.0
+    d.report(1, 10)
+    assert sends(d.arrive(0, hint_us=400_000))
+
+
+
 def test_cold_worker_gets_no_more_than_this_dispatchers_part_of_its_budget():
     d = Driver(entries=[entry(1, started_at=1_000_000_000)], instances=2)
     worker = d.brain.workers[1]
