--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -552,7 +552,7 @@
 
 
 def test_a_hint_says_nothing_of_the_time_a_job_takes_before_one_has_ended():
-    """The ratio to the hint starts as if hints were 1: a hint of 0.4 s stood for a day, and cold workers got none."""
+    """The ratio to the hint starts as if hints were 1: 0.4 s stood for a day, and cold workers got none."""
     d = Driver(entries=[entry(1, started_at=1_000_000_000)], instances=1, tells_start=False)
     d.brain.workers[1].slots = 10.0
     d.report(1, 10)
