Open the operators' door: ready, executors out by hand, evacuate and rejoin

Change, as docs/design/operations.md says: a listener of its own (net/door.py) on the same loop and parser, one call a connection, 16 sessions with the oldest ended for a new caller and 408 after 2 s; the table of calls without I/O (ops/door.py); exclusions as marks with a version (ops/exclusions.py), kept in $TMPDIR by atomic rename (net/kept.py) and laid over every list by the director, so the module sees an excluded executor draining and one put back as a new, cold process; evacuation makes /ready say no, ends each connection with its answer and closes idle ones from 1 s on, with no req cut.

--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -389,7 +389,9 @@
         message, self.answering = self.answering, None
         if self.ending:
             return
-        last = not message.keep_alive or self.clients.closing or (self.half_closed and not self.waiting)
+        clients = self.clients
+        away = clients.closing or clients.sending_away
+        last = not message.keep_alive or away or (self.half_closed and not self.waiting)
         if last:
             more += b"Connection: close\r\n"
         if status == 405:
@@ -423,6 +425,7 @@
         self.resting: dict[ClientSession, None] = {}  # between requests, the one that rests longest first
         self.open_ids: dict[bytes, ClientSession] = {}
         self.draining = self.closing = False
+        self.sending_away = False  # evacuated: each answer ends its connection, idle ones are closed
         self.answer_by = 0  # when the platform may kill the node, once it is told to end
         self.port = 0
         self._socket: socket.socket | None = None
@@ -540,6 +543,10 @@
         """`/ready` says no; sessions serve on, as a client sent away now may find no other node."""
         self.draining = True
 
+    def send_away(self, away: bool) -> None:
+        """Evacuated or back: `/ready` says so, and while away each answer ends its connection."""
+        self.draining = self.sending_away = away
+
     def stop_listening(self) -> None:
         """Take what the backlog still holds, then no more; from now on an answer closes its session."""
         self.closing = True
--- a/cedarmill/net/config.py
+++ b/cedarmill/net/config.py
@@ -1,5 +1,6 @@
 """The node's configuration, and the director's lists, decoded by msgspec."""
 
+import os
 import time
 from typing import Annotated
 
@@ -69,6 +70,7 @@
     known: Listing
     settings: msgspec.Raw
     limits: Limits = msgspec.field(default_factory=Limits)
+    mgmt: str = ""
 
 
 class Config:
@@ -83,6 +85,7 @@
         except (ValueError, msgspec.MsgspecError) as error:
             raise ConfigError(f"configuration: {error}") from None
         self.name, self.known, self.limits = raw.name, raw.known, raw.limits
+        self.mgmt = _mgmt(raw.mgmt)
 
     @classmethod
     def load(cls, path: str) -> "Config":
@@ -96,6 +99,15 @@
         return [name for name in fixed if getattr(self, name) != getattr(other, name)]
 
 
+def _mgmt(configured: str) -> Address | None:
+    """Where the operators' door listens: `$LB_MGMT`, else the configuration's `mgmt`, else nowhere."""
+    text, source = os.environ.get("LB_MGMT") or configured, "LB_MGMT" if os.environ.get("LB_MGMT") else "mgmt"
+    try:
+        return Address.parse(text) if text else None
+    except ValueError as error:
+        raise ConfigError(f"{source}: {error}") from None
+
+
 class ListReader:
     """Turns the director's entries into the brain's; executors are numbered as they become known."""
 
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/director.py
@@ -1,6 +1,7 @@
 """The director: discovery's list, first as the configuration holds it, then by a watch on its changes."""
 
 import asyncio
+from dataclasses import replace
 
 import httptools
 import msgspec
@@ -120,7 +121,9 @@
         self.current: Watch | None = None
         self.told: bool | None = None  # whether the log's last word is that it watches
         self.quiet_until = 0
-        self.entries: dict[int, api.WorkerEntry] = {}  # the list as it stands
+        self.entries: dict[int, api.WorkerEntry] = {}  # the list as it stands, as discovery tells it
+        self.names: dict[int, str] = {}  # discovery's name of each executor in `entries`
+        self.excluded: set[str] = set()  # out by hand: to the module they drain, whatever the list says
 
     def first(self, known: Listing) -> None:
         """The list of the configuration."""
@@ -143,11 +146,39 @@
                 say("entry-passed-over", name=endpoint.name, reason=error)
                 continue
             entries.append(entry)
+            self.names[entry.worker] = endpoint.name
         self.index = listing.index
         if kind != api.ListKind.DELTA:
             self.entries.clear()
         self.entries.update((entry.worker, entry) for entry in entries)
-        self.dispatch.listed(self.turn.now(), api.WorkerList(kind, entries))
+        self.dispatch.listed(self.turn.now(), api.WorkerList(kind, [self._told(entry) for entry in entries]))
+
+    def _told(self, entry: api.WorkerEntry) -> api.WorkerEntry:
+        """The entry as the module hears it: one that is out by hand drains."""
+        if self.names.get(entry.worker) in self.excluded and entry.state == api.WorkerState.READY:
+            return replace(entry, state=api.WorkerState.DRAINING)
+        return entry
+
+    def knows(self, name: str) -> bool:
+        """Whether discovery has named this executor since the start, or the configuration did."""
+        return name in self.reader.numbers
+
+    def retell(self, names: set[str]) -> None:
+        """Their marks changed: the module hears of them anew.
+
+        One that comes back in was restarted by hand while it was out: to the module it is a new process,
+        started now, and so cold; a list that tells of an older start changes nothing of that.
+        """
+        now, entries = self.turn.now(), []
+        for name in names:
+            number = self.reader.numbers.get(name)
+            if (entry := self.entries.get(number)) is None:
+                continue
+            if name not in self.excluded:
+                entry = self.entries[number] = replace(entry, started_at=max(entry.started_at, now))
+            entries.append(self._told(entry))
+        if entries:
+            self.dispatch.listed(now, api.WorkerList(api.ListKind.DELTA, entries))
 
     def watch(self) -> None:
         """The dispatch asks for changes from now on; a watch that lives already brings them."""
@@ -161,7 +192,7 @@
         if before is not None:
             before.end("moved")
         self.address, self.index, self.told, self.quiet_until = address, 0, None, 0
-        news = api.WorkerList(api.ListKind.CACHED, list(self.entries.values()))
+        news = api.WorkerList(api.ListKind.CACHED, [self._told(entry) for entry in self.entries.values()])
         self.dispatch.listed(self.turn.now(), news)
 
     def lost(self, watch: Watch, reason: str) -> None:
--- /dev/null
+++ b/cedarmill/net/door.py
@@ -0,0 +1,191 @@
+"""The operators' door: a listener of its own, one HTTP/1.1 call on each connection, answered at once.
+
+A call is answered in the turn in which its last byte arrives: nothing it asks waits for I/O but the write
+of a small file. Sessions are bounded; a caller that holds one without a whole call is ended after
+`CALL_US`, and sooner when a new caller needs its place, so that slow callers cannot keep the door shut.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import httptools
+
+from cedarmill.log import say
+from cedarmill.net.config import Address
+from cedarmill.net.turn import Turn, callback
+from cedarmill.ops import door as calls
+
+SESSIONS = 16  # open at once: an operator's tools make a few calls, not hundreds
+DESCRIPTORS = SESSIONS + 1  # with the listening socket
+CALL_US = 2_000_000  # for a call to arrive whole: calls are a line and a few headers
+LINGER_US = 1_000_000  # for the caller to read the answer
+ACCEPT_AGAIN_US = 50_000  # after the process ran out of descriptors
+MAX_CALL = 8 * 1024  # bytes of head and body together
+HEAD = b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n%s\r\n"
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+           409: "Conflict", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+           503: "Service Unavailable"}  # fmt: skip
+
+
+class DoorSession(asyncio.Protocol):
+    """One caller's connection: one call, one answer, then the end."""
+
+    def __init__(self, door: "Door") -> None:
+        self.door, self.turn = door, door.turn
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.target = b""
+        self.size = 0
+        self.over = False  # answered: what still comes is not read
+        self.deadline = None
+
+    @callback
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        self.door.came(self)
+        self.deadline = self.turn.deadlines.add(self.turn.now() + CALL_US, self._late)
+
+    @callback
+    def connection_lost(self, error) -> None:
+        self.turn.deadlines.cancel(self.deadline)
+        self.door.left(self)
+        self.parser = None
+
+    def eof_received(self) -> bool:
+        """A caller that stops sending before its call is whole gets its no; one answered, nothing."""
+        if not self.over:
+            self.answer(400, b"the call ended before it was whole\n")
+        return True
+
+    @callback
+    def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        self.size += len(data)
+        try:
+            if self.size > MAX_CALL:
+                raise calls.Refused(431, "the call is over 8 KiB")
+            self.parser.feed_data(data)
+        except calls.Refused as refused:
+            self.answer(refused.status, str(refused).encode() + b"\n")
+        except httptools.HttpParserUpgrade:
+            self.answer(400, b"no upgrade here\n")
+        except httptools.HttpParserCallbackError as error:
+            fault = error.__context__
+            if not isinstance(fault, calls.Refused):
+                say("defect", fault, what="a call at the door")
+                fault = calls.Refused(500, "internal error")
+            self.answer(fault.status, str(fault).encode() + b"\n")
+        except httptools.HttpParserError:
+            self.answer(400, b"malformed HTTP\n")
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_message_complete(self) -> None:
+        method = self.parser.get_method()
+        try:
+            call = calls.understand(method, self.target)
+        except calls.Refused as refused:
+            more = b"Allow: %s\r\n" % calls.allowed(self.target) if refused.status == 405 else b""
+            self.answer(refused.status, str(refused).encode() + b"\n", more, method)
+            return
+        status, text = self.door.obey(call)
+        self.answer(status, text, b"", method)
+
+    def answer(self, status: int, body: bytes, more: bytes = b"", method: bytes = b"") -> None:
+        """The one answer, then the end of the connection."""
+        if self.over:
+            return
+        self.over = True
+        text = HEAD % (status, REASONS[status].encode(), len(body), more)
+        self.transport.write(text if method == b"HEAD" else text + body)
+        self.transport.write_eof()  # not closed here: unread input would reset the answer away
+        self.turn.deadlines.cancel(self.deadline)
+        self.deadline = self.turn.deadlines.add(self.turn.now() + LINGER_US, lambda now: self.abort())
+
+    def _late(self, now: int) -> None:
+        self.deadline = None
+        if self.over:
+            self.abort()
+        else:
+            self.answer(408, b"the call did not arrive in time\n")
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Door:
+    """The listening socket of the door and its sessions, the oldest first."""
+
+    def __init__(self, turn: Turn, obey: Callable[[calls.Call], tuple[int, bytes]]) -> None:
+        self.turn, self.obey = turn, obey
+        self.sessions: dict[DoorSession, None] = {}
+        self.port = 0
+        self._socket: socket.socket | None = None
+        self._accepting = False
+        self._opening = 0
+
+    def listen(self, address: Address) -> None:
+        """Bind and accept; raises OSError."""
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind((address.host, address.port))
+        self._socket.listen(SESSIONS * 4)
+        self.port = self._socket.getsockname()[1]
+        self._accept_on()
+
+    def _accept_on(self, now: int = 0) -> None:
+        if self._socket is not None and not self._accepting:
+            self._accepting = True
+            self.turn.loop.add_reader(self._socket.fileno(), self._accept)
+
+    def _accept_off(self) -> None:
+        if self._accepting:
+            self._accepting = False
+            self.turn.loop.remove_reader(self._socket.fileno())
+
+    @callback
+    def _accept(self) -> None:
+        for _ in range(SESSIONS):
+            if len(self.sessions) + self._opening >= SESSIONS:
+                self._make_room()
+            try:
+                sock, _ = self._socket.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as error:  # out of descriptors: the call waits in the backlog for one
+                say("accept-failed", reason=error.strerror, listener="door")
+                self._make_room()
+                self._accept_off()
+                self.turn.deadlines.add(self.turn.now() + ACCEPT_AGAIN_US, self._accept_on)
+                return
+            sock.setblocking(False)
+            self._opening += 1
+            opening = self.turn.loop.connect_accepted_socket(lambda: DoorSession(self), sock)
+            self.turn.loop.create_task(opening).add_done_callback(self._opened)
+
+    def _opened(self, task: asyncio.Task) -> None:
+        self._opening -= 1
+        if not task.cancelled() and task.exception() is not None:
+            say("session-not-opened", reason=task.exception(), listener="door")
+
+    def _make_room(self) -> None:
+        """The oldest session goes: it has had its answer or has held its place longest without a call."""
+        for session in self.sessions:
+            del self.sessions[session]
+            session.abort()
+            return
+
+    def came(self, session: DoorSession) -> None:
+        self.sessions[session] = None
+
+    def left(self, session: DoorSession) -> None:
+        self.sessions.pop(session, None)
+
+    def abort(self) -> None:
+        """Nothing to end: `callback` asks for it."""
--- /dev/null
+++ b/cedarmill/net/hands.py
@@ -0,0 +1,105 @@
+"""What operators ask at the door, done on the node: readiness, executors out by hand, sending clients away.
+
+The door only reports and marks: an executor out by hand reaches the module as a draining one, through the
+director, and what follows of that is the module's. The marks are kept in a file that the node's next
+process finds, so that they hold across an upgrade.
+"""
+
+import os
+from collections.abc import Callable
+
+from cedarmill.log import say
+from cedarmill.net.clients import Clients
+from cedarmill.net.director import Director
+from cedarmill.net.kept import KeptFile
+from cedarmill.net.turn import Turn
+from cedarmill.ops.door import Act, Call
+from cedarmill.ops.exclusions import Exclusions
+
+LOOK_US = 500_000  # between two looks at the kept file: the node's other process may have changed it
+AWAY_IDLE_US = 1_000_000  # after an evacuation, before idle connections close: new ones stop 0.2 s after a no
+SWEEP_US = 100_000  # then between two closings of what has become idle
+
+
+def kept_file(name: str) -> KeptFile:
+    """The file of a node's marks, in `$TMPDIR`, which its processes share and an upgrade does not empty."""
+    safe = "".join(c if c.isalnum() or c in "-_." else "_" for c in name)
+    return KeptFile(os.path.join(os.environ.get("TMPDIR") or "/tmp", f"cedarmill-{safe}-exclusions.json"))
+
+
+class Hands:
+    """Carries out the door's calls."""
+
+    def __init__(self, turn: Turn, clients: Clients, director: Director, kept: KeptFile,
+                 ending: Callable[[], bool]) -> None:  # fmt: skip
+        self.turn, self.clients, self.director, self.kept, self.ending = turn, clients, director, kept, ending
+        self.exclusions = Exclusions()
+        self._away = 0  # grows with each evacuation: an old sweep ends when it sees a newer one
+        self._acts = {Act.READY: self._ready, Act.EXCLUDE: self._mark, Act.INCLUDE: self._mark,
+                      Act.EVACUATE: self._evacuate, Act.REJOIN: self._rejoin}  # fmt: skip
+
+    def start(self) -> None:
+        """Take up the marks that an earlier process of this node left, before the first list is told."""
+        self._look(self.turn.now())
+
+    def _look(self, now: int) -> None:
+        self.turn.deadlines.add(now + LOOK_US, self._look)
+        try:
+            text = self.kept.read()
+            changed = self.exclusions.adopt(text) if text is not None else set()
+        except (OSError, ValueError) as error:
+            say("exclusions-unread", reason=error)
+            return
+        if changed:
+            self.director.excluded = set(self.exclusions.names)
+            say("exclusions-taken", names=", ".join(sorted(changed)))
+            self.director.retell(changed)
+
+    def obey(self, call: Call) -> tuple[int, bytes]:
+        """The status and text of the answer to a call understood."""
+        return self._acts[call.act](call)
+
+    def _ready(self, call: Call) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self.clients.ready() else (503, b"not ready\n")
+
+    def _mark(self, call: Call) -> tuple[int, bytes]:
+        name, out = call.executor, call.act == Act.EXCLUDE
+        self._look(self.turn.now())  # the newest word of the other process comes first
+        if not (self.director.knows(name) or name in self.exclusions.names):
+            return 404, b"no executor of that id\n"
+        before = self.exclusions.encode()
+        if not (self.exclusions.exclude(name) if out else self.exclusions.include(name)):
+            return 200, b"excluded\n" if out else b"included\n"
+        try:
+            self.kept.write(self.exclusions.encode())
+        except OSError as error:  # nothing half done: the mark is taken back
+            self.exclusions = Exclusions()
+            self.exclusions.adopt(before)
+            say("exclusions-unkept", reason=error)
+            return 503, b"the mark could not be kept\n"
+        self.director.excluded = set(self.exclusions.names)
+        say("excluded" if out else "included", executor=name)
+        self.director.retell({name})
+        return 200, b"excluded\n" if out else b"included\n"
+
+    def _evacuate(self, call: Call) -> tuple[int, bytes]:
+        if not self.clients.sending_away:
+            self._away += 1
+            self.clients.send_away(True)
+            say("evacuated", held=len(self.clients.sessions))
+            away = self._away
+            self.turn.deadlines.add(self.turn.now() + AWAY_IDLE_US, lambda now: self._sweep(now, away))
+        return 200, b"evacuating\n"
+
+    def _sweep(self, now: int, away: int) -> None:
+        if self.clients.sending_away and away == self._away:
+            self.clients.close_idle()
+            self.turn.deadlines.add(now + SWEEP_US, lambda now: self._sweep(now, away))
+
+    def _rejoin(self, call: Call) -> tuple[int, bytes]:
+        if self.ending():
+            return 409, b"the process is ending\n"
+        if self.clients.sending_away:
+            self.clients.send_away(False)
+            say("rejoined")
+        return 200, b"rejoined\n"
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -14,10 +14,12 @@
 from cedarmill.core.dispatch import Dispatch
 from cedarmill.decisions.brain import Brain
 from cedarmill.log import say
+from cedarmill.net import door
 from cedarmill.net.backends import Backends
 from cedarmill.net.clients import Clients
 from cedarmill.net.config import Address, Config, ConfigError
 from cedarmill.net.director import Director
+from cedarmill.net.hands import Hands, kept_file
 from cedarmill.net.turn import Turn
 from cedarmill.values import Options
 
@@ -49,6 +51,7 @@
         sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         health = options.health
         sockets -= HEALTH_DESCRIPTORS * sum(map(bool, (health.agent, health.http, health.grpc)))
+        sockets -= door.DESCRIPTORS if config.mgmt else 0
         sessions = (sockets - OWN_DESCRIPTORS) // 2
         in_memory = int((config.limits.memory_mb - OWN_MEMORY_MB) / SESSION_MB)
         self.budget = Budget(options.deadlines, len(settings.classes))
@@ -61,6 +64,9 @@
             adapter.dispatch = self.dispatch
         self.draining = False
         self.checkers: list = []
+        kept = kept_file(config.name)
+        self.hands = Hands(self.turn, self.clients, self.director, kept, lambda: self.draining)
+        self.door = door.Door(self.turn, self.hands.obey)
 
     def _listen_for_checkers(self) -> None:
         """The listeners of other installations; raises OSError."""
@@ -91,7 +97,11 @@
         for number in SIGNALS:
             self.loop.add_signal_handler(number, obey.get(number, self._drain))
         self.clients.listen(self.config.listen)
+        if (mgmt := self.config.mgmt) is not None:
+            self.door.listen(mgmt)
+            say("door", host=mgmt.host, port=self.door.port)
         self._listen_for_checkers()
+        self.hands.start()
         self.director.first(self.config.known)
         self.deadlines.add(self.turn.now() + self.options.ledger_every_us, self._account_again)
         self.loop.call_soon(self._started)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -162,8 +162,12 @@
     changes: dict = {}
     conf = ""  # our own settings, the inside of <cedarmill>
     log_format = "text"
+    env: dict = {}  # more of the environment that the platform sets
+    pass_fds: tuple = ()
 
     def setUp(self) -> None:
+        self.tmpdir = tempfile.TemporaryDirectory()  # the node's own `$TMPDIR`: marks kept there are its own
+        self.addCleanup(self.tmpdir.cleanup)
         self.director = Server()
         self.servers = [Server() for _ in range(self.backends)]
         for server in (self.director, *self.servers):
@@ -194,14 +198,15 @@
             json.dump(config, file)
         self.addCleanup(os.unlink, file.name)
         self.path = file.name
-        env = {**os.environ, "LB_CONFIG": file.name}
+        env = {**os.environ, "LB_CONFIG": file.name, "TMPDIR": self.tmpdir.name, **self.env}
         command = [sys.executable, "-m", "cedarmill"]
         if self.conf or self.log_format != "text":
             Path(f"{file.name}.xml").write_text(f'<cedarmill version="1">{self.conf}</cedarmill>')
             self.addCleanup(os.unlink, f"{file.name}.xml")
             command += [".cli", "node", "-c", f"{file.name}.xml", "--log-format", self.log_format]
             command[2:4] = ["cedarmill.cli"]
-        return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+        return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True,
+                                pass_fds=self.pass_fds)
 
     def wait_log(self, words: str) -> str:
         """Read the log up to a line with those words."""
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,171 @@
+"""The operators' door on the real program: calls, slow callers, executors out by hand, evacuation."""
+
+import re
+import socket
+import unittest
+
+from nodes import WAIT, NodeCase
+
+from cedarmill.net.door import SESSIONS
+from cedarmill.ops import door
+from cedarmill.ops.exclusions import Exclusions
+
+
+def call(port: int, method: str, path: str) -> tuple[int, bytes]:
+    """One call on a connection of its own, as the operators' tools make it."""
+    with socket.create_connection(("127.0.0.1", port), timeout=WAIT) as sock:
+        sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n".encode())
+        return read_answer(sock)
+
+
+def read_answer(sock: socket.socket) -> tuple[int, bytes]:
+    """Status and body of an answer that ends its connection."""
+    text = b""
+    while chunk := sock.recv(4096):
+        text += chunk
+    head, _, body = text.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+class Calls(unittest.TestCase):
+    """The table of calls, without a node."""
+
+    def test_each_call_of_the_page_is_understood(self):
+        self.assertEqual(door.understand(b"GET", b"/api/ready"), door.Call(door.Act.READY))
+        self.assertEqual(door.understand(b"PUT", b"/api/exclude/s-1"), door.Call(door.Act.EXCLUDE, "s-1"))
+        self.assertEqual(door.understand(b"PUT", b"/api/include/s-1?x"), door.Call(door.Act.INCLUDE, "s-1"))
+        self.assertEqual(door.understand(b"PUT", b"/api/evacuate").act, door.Act.EVACUATE)
+        self.assertEqual(door.understand(b"PUT", b"/api/rejoin").act, door.Act.REJOIN)
+
+    def test_wrong_paths_methods_and_ids_are_refused(self):
+        for method, target, status in ((b"GET", b"/api/evacuate", 405), (b"PUT", b"/api/ready", 405),
+                                       (b"POST", b"/api/exclude/s-1", 405), (b"GET", b"/api", 404),
+                                       (b"PUT", b"/api/exclude/", 404), (b"PUT", b"/api/exclude/a/b", 404)):
+            with self.subTest(target=target), self.assertRaises(door.Refused) as raised:
+                door.understand(method, target)
+            self.assertEqual(raised.exception.status, status)
+
+    def test_two_outs_take_one_in_and_the_newer_document_wins(self):
+        marks = Exclusions()
+        self.assertTrue(marks.exclude("s-1"))
+        self.assertFalse(marks.exclude("s-1"))
+        kept = marks.encode()
+        self.assertTrue(marks.include("s-1"))
+        self.assertEqual(marks.names, set())
+        other = Exclusions()
+        self.assertEqual(other.adopt(kept), {"s-1"})
+        self.assertEqual(other.adopt(marks.encode()), {"s-1"})  # version 3 after version 2
+        self.assertEqual(other.adopt(kept), set())  # older: changes nothing
+        with self.assertRaises(ValueError):
+            other.adopt(b'{"version": 9')
+        self.assertEqual(other.names, set())
+
+
+class DoorCase(NodeCase):
+    backends = 2
+
+    def config(self) -> dict:
+        return {**super().config(), "mgmt": "127.0.0.1:0"}
+
+    def setUp(self) -> None:
+        super().setUp()
+        line = next(line for line in self.log if "operators' door on" in line)
+        self.door = int(re.search(r"port (\d+)", line)[1])
+
+    def served_by(self) -> int:
+        """Where the next req goes."""
+        client, found = self.client().ask(), -1
+        while not client.answered(0.01):
+            for number, server in enumerate(self.servers):
+                if not server.asked.empty():
+                    server.next().done()
+                    found = number
+        self.assertEqual(client.answer()[0], 200)
+        return found
+
+
+class Door(DoorCase):
+    def test_the_calls_answer_and_bad_ones_get_a_no(self):
+        self.assertEqual(call(self.door, "GET", "/api/ready"), (200, b"ready\n"))
+        self.assertEqual(call(self.door, "PUT", "/api/exclude/nobody")[0], 404)
+        self.assertEqual(call(self.door, "DELETE", "/api/rejoin")[0], 405)
+        self.assertEqual(call(self.door, "GET", "/metrics")[0], 404)
+        with socket.create_connection(("127.0.0.1", self.door), timeout=WAIT) as sock:
+            sock.sendall(b"PUT /api/evacuate HTTP/1.1\r\nContent-Length: zz\r\n\r\n")
+            self.assertEqual(read_answer(sock)[0], 400)
+
+    def test_a_call_cut_at_every_byte_is_answered(self):
+        text = b"PUT /api/exclude/s-0 HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n"
+        with socket.create_connection(("127.0.0.1", self.door), timeout=WAIT) as sock:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for byte in text:
+                sock.send(bytes([byte]))
+            self.assertEqual(read_answer(sock), (200, b"excluded\n"))
+
+    def test_slow_callers_do_not_keep_the_door_shut(self):
+        """A caller that holds a connection without a whole call gives its place to a new one."""
+        slow = [socket.create_connection(("127.0.0.1", self.door), timeout=WAIT) for _ in range(3 * SESSIONS)]
+        for sock in slow:
+            self.addCleanup(sock.close)
+            sock.sendall(b"PUT /api/evac")
+        self.assertEqual(call(self.door, "GET", "/api/ready"), (200, b"ready\n"))
+
+    def test_a_call_while_the_data_path_is_full(self):
+        """Reqs held at a backend that does not answer leave the door's answers as they are."""
+        for _ in range(20):
+            self.client().ask()
+        self.wait_for(lambda: sum(server.asked.qsize() for server in self.servers) == 20)
+        self.assertEqual(call(self.door, "PUT", "/api/exclude/s-1"), (200, b"excluded\n"))
+
+
+class OutByHand(DoorCase):
+    def watch(self):
+        asked = self.director.next()
+        asked.head()
+        return asked
+
+    def test_out_holds_against_the_list_and_two_outs_take_one_in(self):
+        watch = self.watch()
+        self.assertEqual(call(self.door, "PUT", "/api/exclude/s-0")[0], 200)
+        self.assertEqual(call(self.door, "PUT", "/api/exclude/s-0")[0], 200)
+        self.assertEqual({self.served_by() for _ in range(6)}, {1})
+        watch.line({"index": 9, "snapshot": True, "endpoints": [self.entry(0), self.entry(1)]})
+        self.wait_log("watching from index 9")
+        self.assertEqual({self.served_by() for _ in range(6)}, {1})
+        self.assertEqual(call(self.door, "PUT", "/api/include/s-0")[0], 200)
+        self.assertEqual(call(self.door, "PUT", "/api/exclude/s-1")[0], 200)
+        self.assertEqual(self.served_by(), 0)
+
+    def test_the_marks_hold_for_the_next_process_of_the_node(self):
+        self.assertEqual(call(self.door, "PUT", "/api/exclude/s-0")[0], 200)
+        self.process.kill()
+        self.process.wait(WAIT)
+        self.log.clear()
+        self.process = self.start(self.config())
+        self.wait_log("serves on")
+        self.port = self.told_port()
+        self.assertTrue(any("kept file: s-0" in line for line in self.log), self.log)
+        self.assertEqual({self.served_by() for _ in range(6)}, {1})
+
+
+class Evacuation(DoorCase):
+    def ready(self) -> int:
+        client = self.client()
+        client.request("GET", "/ready")
+        return client.answer()[0]
+
+    def test_sent_away_and_back_with_a_job_held_on_a_kept_connection(self):
+        idle, busy = self.client(), self.client().ask()
+        idle.request("GET", "/ready")
+        self.assertEqual(idle.answer()[0], 200)
+        self.wait_for(lambda: any(not server.asked.empty() for server in self.servers))
+        asked = next(server for server in self.servers if not server.asked.empty()).next()
+        self.assertEqual(call(self.door, "PUT", "/api/evacuate"), (200, b"evacuating\n"))
+        self.assertEqual(self.ready(), 503)
+        self.assertEqual(call(self.door, "GET", "/api/ready")[0], 503)
+        self.assertEqual(idle.sock.recv(1), b"")  # the idle kept connection is closed
+        asked.done()
+        self.assertEqual(busy.answer()[0], 200)  # the job held is answered, and its connection then ends
+        self.assertEqual(busy.headers["Connection"], "close")
+        self.assertEqual(call(self.door, "PUT", "/api/rejoin")[0], 200)
+        self.assertEqual(self.ready(), 200)
