Serve on the clients' socket named by $LB_SOCKET_FD, and leave its backlog to the new process

Change: net/config.inherited_socket takes the descriptor of $LB_SOCKET_FD, checked to be a listening TCP socket, or stops with one line and exit 2 (closed, not a socket, not listening); Clients.listen accepts on it and binds nothing. On SIGTERM a process on a held socket stops accepting at once and leaves the shared backlog to its successor, whose accepts go on meanwhile; the kill time is counted from SIGTERM.

--- a/cedarmill/log.py
+++ b/cedarmill/log.py
@@ -40,6 +40,7 @@
     "clock-off": Event(logging.WARNING, "a client's deadline cannot be: {reason}"),
     "overdue-unanswered": Event(logging.ERROR, "req overdue without an answer from the brain"),
     "door": Event(logging.INFO, "operators' door on {host} port {port}"),
+    "inherited": Event(logging.INFO, "clients' listening socket inherited as descriptor {fd}"),
     "excluded": Event(logging.INFO, "executor {executor} out by hand: the module sees it draining"),
     "included": Event(logging.INFO, "executor {executor} back in by hand, as a new and cold process"),
     "exclusions-taken": Event(logging.INFO, "marks of executors taken from the kept file: {names}"),
--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -432,15 +432,17 @@
         self._accepting = False
         self._opening: set[asyncio.Task] = set()
 
-    def listen(self, address: Address) -> None:
-        """Bind and accept; raises OSError."""
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    def listen(self, address: Address, inherited: socket.socket | None = None) -> None:
+        """Bind and accept, or accept on a listening socket that the platform holds; raises OSError."""
+        if inherited is None:
+            family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+            inherited = socket.socket(family, socket.SOCK_STREAM)
+            inherited.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            inherited.bind((address.host, address.port))
+            inherited.listen(BACKLOG)
+        self._socket = inherited
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # taken on by accepted sockets
         self._socket.setblocking(False)
-        self._socket.bind((address.host, address.port))
-        self._socket.listen(BACKLOG)
         self.port = self._socket.getsockname()[1]
         self._accept_on()
 
@@ -547,10 +549,13 @@
         """Evacuated or back: `/ready` says so, and while away each answer ends its connection."""
         self.draining = self.sending_away = away
 
-    def stop_listening(self) -> None:
-        """Take what the backlog still holds, then no more; from now on an answer closes its session."""
+    def stop_listening(self, take_backlog: bool = True) -> None:
+        """Take what the backlog still holds, then no more; from now on an answer closes its session.
+
+        The backlog of a socket that another process of the node shares is left to that process.
+        """
         self.closing = True
-        while self._accept():
+        while take_backlog and self._accept():
             pass
         self._accept_off()
         self._socket.close()
--- a/cedarmill/net/config.py
+++ b/cedarmill/net/config.py
@@ -1,6 +1,7 @@
 """The node's configuration, and the director's lists, decoded by msgspec."""
 
 import os
+import socket
 import time
 from typing import Annotated
 
@@ -108,6 +109,28 @@
         raise ConfigError(f"{source}: {error}") from None
 
 
+def inherited_socket() -> socket.socket | None:
+    """The clients' listening socket that the platform holds, named by `$LB_SOCKET_FD`; raises ConfigError."""
+    text = os.environ.get("LB_SOCKET_FD")
+    if not text:
+        return None
+    if not text.isdecimal():
+        raise ConfigError(f"LB_SOCKET_FD={text}: not a descriptor's number")
+    try:
+        sock = socket.socket(fileno=int(text))
+    except OSError as error:
+        raise ConfigError(f"LB_SOCKET_FD={text}: {error.strerror or error}") from None
+    try:
+        accepts = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        listening = sock.type == socket.SOCK_STREAM and accepts
+    except OSError:
+        listening = False
+    if not listening:
+        sock.detach()  # not ours to close
+        raise ConfigError(f"LB_SOCKET_FD={text}: not a listening TCP socket")
+    return sock
+
+
 class ListReader:
     """Turns the director's entries into the brain's; executors are numbered as they become known."""
 
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -17,7 +17,7 @@
 from cedarmill.net import door
 from cedarmill.net.backends import Backends
 from cedarmill.net.clients import Clients
-from cedarmill.net.config import Address, Config, ConfigError
+from cedarmill.net.config import Address, Config, ConfigError, inherited_socket
 from cedarmill.net.director import Director
 from cedarmill.net.hands import Hands, kept_file
 from cedarmill.net.turn import Turn
@@ -63,10 +63,12 @@
         for adapter in (self.clients, self.backends, self.director):
             adapter.dispatch = self.dispatch
         self.draining = False
+        self.term_at = 0  # when SIGTERM came
         self.checkers: list = []
         kept = kept_file(config.name)
         self.hands = Hands(self.turn, self.clients, self.director, kept, lambda: self.draining)
         self.door = door.Door(self.turn, self.hands.obey)
+        self.inherited = inherited_socket()
 
     def _listen_for_checkers(self) -> None:
         """The listeners of other installations; raises OSError."""
@@ -96,7 +98,9 @@
         obey = {signal.SIGHUP: self._reload, signal.SIGUSR1: self._account}
         for number in SIGNALS:
             self.loop.add_signal_handler(number, obey.get(number, self._drain))
-        self.clients.listen(self.config.listen)
+        self.clients.listen(self.config.listen, self.inherited)
+        if self.inherited is not None:
+            say("inherited", fd=self.inherited.fileno())
         if (mgmt := self.config.mgmt) is not None:
             self.door.listen(mgmt)
             say("door", host=mgmt.host, port=self.door.port)
@@ -153,14 +157,16 @@
         self.clients.drain()
         for listener in self.checkers:
             listener.changed()
-        self.deadlines.add(self.turn.now() + ACCEPT_ON_US, self._stop)
+        self.term_at = self.turn.now()
+        # a socket that the platform holds is served by the new process already: what comes is left to it
+        self.deadlines.add(self.term_at + (ACCEPT_ON_US if self.inherited is None else 0), self._stop)
         self.turn.end()
 
     def _stop(self, now: int) -> None:
-        self.clients.stop_listening()
+        self.clients.stop_listening(take_backlog=self.inherited is None)
         say("closed", held=self.dispatch.owed)
         longest = max(spec.deadline_us for spec in self.config.settings.classes)
-        kill = now - ACCEPT_ON_US + KILL_US + min(longest, KILL_DEADLINE_US)
+        kill = self.term_at + KILL_US + min(longest, KILL_DEADLINE_US)
         self.clients.answer_by = kill - KILL_MARGIN_US
         self.deadlines.add(now + LAST_READ_US, self._end_if_done)
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -166,6 +166,14 @@
     pass_fds: tuple = ()
 
     def setUp(self) -> None:
+        self.prepare()
+        self.process = self.start(self.config())
+        self.addCleanup(self.end)
+        self.wait_log("serves on")
+        self.port = self.told_port()
+
+    def prepare(self) -> None:
+        """All but the node: its `$TMPDIR`, its director and backends."""
         self.tmpdir = tempfile.TemporaryDirectory()  # the node's own `$TMPDIR`: marks kept there are its own
         self.addCleanup(self.tmpdir.cleanup)
         self.director = Server()
@@ -174,10 +182,6 @@
             self.addCleanup(server.close)
         self.log: list[str] = []
         self.path = ""
-        self.process = self.start(self.config())
-        self.addCleanup(self.end)
-        self.wait_log("serves on")
-        self.port = self.told_port()
 
     def config(self) -> dict:
         settings = json.loads(json.dumps(SETTINGS))
