Test a door call while client sessions sit at their bound under 64 descriptors

The node runs with limits.sockets 64 and RLIMIT_NOFILE 64; 120 clients hold half-written requests till the log says the sessions are at their bound; an exclusion and a ready call are still answered, and the process holds no more than 64 descriptors.

--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -6,6 +6,7 @@
 import os
 import queue
 import re
+import resource
 import select
 import signal
 import socket
@@ -164,6 +165,7 @@
     log_format = "text"
     env: dict = {}  # more of the environment that the platform sets
     pass_fds: tuple = ()
+    nofile = 0  # where not 0, the process may hold no more descriptors
 
     def setUp(self) -> None:
         self.prepare()
@@ -209,8 +211,10 @@
             self.addCleanup(os.unlink, f"{file.name}.xml")
             command += [".cli", "node", "-c", f"{file.name}.xml", "--log-format", self.log_format]
             command[2:4] = ["cedarmill.cli"]
+        limit = self.nofile
+        bounded = (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))) if limit else None
         return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True,
-                                pass_fds=self.pass_fds)
+                                pass_fds=self.pass_fds, preexec_fn=bounded)
 
     def wait_log(self, words: str) -> str:
         """Read the log up to a line with those words."""
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -169,3 +169,20 @@
         self.assertEqual(busy.headers["Connection"], "close")
         self.assertEqual(call(self.door, "PUT", "/api/rejoin")[0], 200)
         self.assertEqual(self.ready(), 200)
+
+
+class NoRoom(DoorCase):
+    """Descriptors at the node's least: the clients' sessions full of half-written requests."""
+
+    sockets = 64  # the least that the configuration takes
+    nofile = 64  # and the process may hold no more
+
+    def test_a_door_call_is_answered_while_client_sessions_are_at_their_bound(self):
+        crowd = [socket.create_connection(("127.0.0.1", self.port), timeout=WAIT) for _ in range(120)]
+        for sock in crowd:
+            self.addCleanup(sock.close)
+            sock.sendall(b"POST /api HTTP/1.1\r\nX-Call-")
+        self.wait_log("client sessions at their bound")
+        self.assertLessEqual(self.descriptors(), self.nofile)
+        self.assertEqual(call(self.door, "PUT", "/api/exclude/s-1"), (200, b"excluded\n"))
+        self.assertEqual(call(self.door, "GET", "/api/ready"), (200, b"ready\n"))
