--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -15,6 +15,7 @@
 from cedarmill.decisions import interface as api
 from cedarmill.log import say
 from cedarmill.net.config import Address
+from cedarmill.net.listening import Accepting, listening_socket
 from cedarmill.net.turn import Turn, callback
 from cedarmill.values import DeadlineOptions
 
@@ -410,7 +411,7 @@
             self._rest()
 
 
-class Clients:
+class Clients(Accepting):
     """The listening socket and its sessions."""
 
     def __init__(self, turn: Turn, settings: api.Settings, bound: int, options: DeadlineOptions) -> None:
@@ -428,19 +429,11 @@
         self.sending_away = False  # evacuated: each answer ends its connection, idle ones are closed
         self.answer_by = 0  # when the platform may kill the node, once it is told to end
         self.port = 0
-        self._socket: socket.socket | None = None
-        self._accepting = False
         self._opening: set[asyncio.Task] = set()
 
     def listen(self, address: Address, inherited: socket.socket | None = None) -> None:
         """Bind and accept, or accept on a listening socket that the platform holds; raises OSError."""
-        if inherited is None:
-            family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-            inherited = socket.socket(family, socket.SOCK_STREAM)
-            inherited.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            inherited.bind((address.host, address.port))
-            inherited.listen(BACKLOG)
-        self._socket = inherited
+        self._socket = inherited if inherited is not None else listening_socket(address, BACKLOG)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # taken on by accepted sockets
         self._socket.setblocking(False)
         self.port = self._socket.getsockname()[1]
@@ -450,16 +443,6 @@
         """Whether reqs can be served."""
         return bool(self.dispatch.listed_ready) and not self.draining
 
-    def _accept_on(self, now: int = 0) -> None:
-        if self._socket is not None and not self._accepting:
-            self._accepting = True
-            self.turn.loop.add_reader(self._socket.fileno(), self._accept)
-
-    def _accept_off(self) -> None:
-        if self._accepting:
-            self._accepting = False
-            self.turn.loop.remove_reader(self._socket.fileno())
-
     @callback
     def _accept(self) -> bool:
         """Take some of what has come; False when no more can be taken now."""
--- a/cedarmill/net/door.py
+++ b/cedarmill/net/door.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 import httptools
 
 from cedarmill.log import say
 from cedarmill.net.config import Address
+from cedarmill.net.listening import Accepting, listening_socket
 from cedarmill.net.turn import Turn, callback
 from cedarmill.ops import door as calls
 
@@ -117,38 +117,21 @@
             self.transport.abort()
 
 
-class Door:
+class Door(Accepting):
     """The listening socket of the door and its sessions, the oldest first."""
 
     def __init__(self, turn: Turn, obey: Callable[[calls.Call], tuple[int, bytes]]) -> None:
         self.turn, self.obey = turn, obey
         self.sessions: dict[DoorSession, None] = {}
         self.port = 0
-        self._socket: socket.socket | None = None
-        self._accepting = False
         self._opening = 0
 
     def listen(self, address: Address) -> None:
         """Bind and accept; raises OSError."""
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.setblocking(False)
-        self._socket.bind((address.host, address.port))
-        self._socket.listen(SESSIONS * 4)
+        self._socket = listening_socket(address, SESSIONS * 4)
         self.port = self._socket.getsockname()[1]
         self._accept_on()
 
-    def _accept_on(self, now: int = 0) -> None:
-        if self._socket is not None and not self._accepting:
-            self._accepting = True
-            self.turn.loop.add_reader(self._socket.fileno(), self._accept)
-
-    def _accept_off(self) -> None:
-        if self._accepting:
-            self._accepting = False
-            self.turn.loop.remove_reader(self._socket.fileno())
-
     @callback
     def _accept(self) -> None:
         for _ in range(SESSIONS):
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -263,3 +263,14 @@
         client = Client(self)
         self.addCleanup(client.close)
         return client
+
+    def served_by(self) -> int:
+        """Where the next req goes."""
+        client, found = self.client().ask(), -1
+        while not client.answered(0.01):
+            for number, server in enumerate(self.servers):
+                if not server.asked.empty():
+                    server.next().done()
+                    found = number
+        self.assertEqual(client.answer()[0], 200)
+        return found
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -72,17 +72,6 @@
         line = next(line for line in self.log if "operators' door on" in line)
         self.door = int(re.search(r"port (\d+)", line)[1])
 
-    def served_by(self) -> int:
-        """Where the next req goes."""
-        client, found = self.client().ask(), -1
-        while not client.answered(0.01):
-            for number, server in enumerate(self.servers):
-                if not server.asked.empty():
-                    server.next().done()
-                    found = number
-        self.assertEqual(client.answer()[0], 200)
-        return found
-
 
 class Door(DoorCase):
     def test_the_calls_answer_and_bad_ones_get_a_no(self):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -452,17 +452,6 @@
         asked.head()
         return asked
 
-    def served_by(self) -> int:
-        """Where the next req goes."""
-        client, found = self.client().ask(), -1
-        while not client.answered(0.01):
-            for number, server in enumerate(self.servers):
-                if not server.asked.empty():
-                    server.next().done()
-                    found = number
-        self.assertEqual(client.answer()[0], 200)
-        return found
-
     def test_a_drained_backend_sees_nothing_new(self):
         """Rule 3; the next call asks from the version that the last line held."""
         watch = self.watch(7)
