Keep one chain of looks at the kept marks: each door mark added one more

Seen in the second reading of the change, then by a probe: Hands._mark took up the other process's marks by calling _look, and _look also set its own next run in 0.5 s, so every exclude or include started one more repeating chain of looks at the kept file.

Change: _look_again is the one periodic chain and calls _take_up, which _mark calls directly; the two places that set the director's marks and retold the module now share _tell.

Test (tests/test_door.py, Looks): ten marks, then 10 s of a driven clock: 20 looks, one every 0.5 s. Behaviour of the door is otherwise the same.

--- a/cedarmill/net/hands.py
+++ b/cedarmill/net/hands.py
@@ -40,10 +40,15 @@
 
     def start(self) -> None:
         """Take up the marks that an earlier process of this node left, before the first list is told."""
-        self._look(self.turn.now())
+        self._look_again(self.turn.now())
 
-    def _look(self, now: int) -> None:
-        self.turn.deadlines.add(now + LOOK_US, self._look)
+    def _look_again(self, now: int) -> None:
+        """The one chain of looks at the kept file, every `LOOK_US`."""
+        self.turn.deadlines.add(now + LOOK_US, self._look_again)
+        self._take_up()
+
+    def _take_up(self) -> None:
+        """Take up what the node's other process kept, if it changed."""
         try:
             text = self.kept.read()
             changed = self.exclusions.adopt(text) if text is not None else set()
@@ -51,9 +56,13 @@
             say("exclusions-unread", reason=error)
             return
         if changed:
-            self.director.excluded = set(self.exclusions.names)
             say("exclusions-taken", names=", ".join(sorted(changed)))
-            self.director.retell(changed)
+            self._tell(changed)
+
+    def _tell(self, changed: set[str]) -> None:
+        """The director lays the marks as they now stand over what the module hears of these executors."""
+        self.director.excluded = set(self.exclusions.names)
+        self.director.retell(changed)
 
     def obey(self, call: Call) -> tuple[int, bytes]:
         """The status and text of the answer to a call understood."""
@@ -64,7 +73,7 @@
 
     def _mark(self, call: Call) -> tuple[int, bytes]:
         name, out = call.executor, call.act == Act.EXCLUDE
-        self._look(self.turn.now())  # the newest word of the other process comes first
+        self._take_up()  # the newest word of the other process comes first
         if not (self.director.knows(name) or name in self.exclusions.names):
             return 404, b"no executor of that id\n"
         before = self.exclusions.encode()
@@ -77,9 +86,8 @@
             self.exclusions.adopt(before)
             say("exclusions-unkept", reason=error)
             return 503, b"the mark could not be kept\n"
-        self.director.excluded = set(self.exclusions.names)
         say("excluded" if out else "included", executor=name)
-        self.director.retell({name})
+        self._tell({name})
         return 200, b"excluded\n" if out else b"included\n"
 
     def _evacuate(self, call: Call) -> tuple[int, bytes]:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -2,11 +2,15 @@
 
 import re
 import socket
+import tempfile
 import unittest
 
 from nodes import WAIT, NodeCase
 
+from cedarmill.core.deadlines import Deadlines
 from cedarmill.net.door import SESSIONS
+from cedarmill.net.hands import LOOK_US, Hands
+from cedarmill.net.kept import KeptFile
 from cedarmill.ops import door
 from cedarmill.ops.exclusions import Exclusions
 
@@ -61,6 +65,59 @@
         self.assertEqual(other.names, set())
 
 
+class CountedFile(KeptFile):
+    """A kept file that counts how often it is looked at."""
+
+    looks = 0
+
+    def read(self) -> bytes | None:
+        self.looks += 1
+        return super().read()
+
+
+class Listed:
+    """The director's side that the hands use: it knows every name, and hears the marks."""
+
+    excluded: set = set()
+
+    def knows(self, name: str) -> bool:
+        return True
+
+    def retell(self, names: set) -> None:
+        pass
+
+
+class Ticking:
+    """A turn on a clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.deadlines, self.at = Deadlines(), 0
+
+    def now(self) -> int:
+        return self.at
+
+    def run_till(self, until: int) -> None:
+        while self.deadlines.next is not None and self.deadlines.next <= until:
+            self.at = self.deadlines.next
+            for due in self.deadlines.sweep(self.at):
+                due(self.at)
+        self.at = until
+
+
+class Looks(unittest.TestCase):
+    def test_calls_add_no_chains_of_looks_at_the_kept_file(self):
+        """Each mark reads the file once; the looks every 0.5 s stay one chain however many calls came."""
+        with tempfile.TemporaryDirectory() as folder:
+            turn, kept = Ticking(), CountedFile(f"{folder}/kept.json")
+            hands = Hands(turn, object(), Listed(), kept, lambda: False)
+            hands.start()
+            for number in range(10):
+                hands.obey(door.Call(door.Act.EXCLUDE if number % 2 else door.Act.INCLUDE, "s-1"))
+            before = kept.looks
+            turn.run_till(20 * LOOK_US)
+            self.assertEqual(kept.looks - before, 20)
+
+
 class DoorCase(NodeCase):
     backends = 2
 
