Keep executors' names by number in the ListReader that numbers them, not in the director

ListReader.entry now keeps both directions where it hands out the number, and the director's overlay of marks asks the reader.

--- a/cedarmill/net/config.py
+++ b/cedarmill/net/config.py
@@ -136,6 +136,7 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self.numbers: dict[str, int] = {}
+        self.names: dict[int, str] = {}  # the other way round
         self._zones = {name: n for n, name in enumerate(settings.zones)}
         self._kinds = {name: n for n, name in enumerate(settings.kinds)}
         # taken once: a start that moved by a microsecond between two lists would look like a restart
@@ -144,6 +145,7 @@
     def entry(self, raw: Endpoint) -> api.WorkerEntry:
         """One entry; a zone or kind that the settings do not name is one of its own."""
         number = self.numbers.setdefault(raw.name, len(self.numbers) + 1)
+        self.names[number] = raw.name
         return api.WorkerEntry(
             number,
             _STATES.get(raw.status, api.WorkerState.DRAINING),  # one not known yet: nothing new goes there
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/director.py
@@ -122,7 +122,6 @@
         self.told: bool | None = None  # whether the log's last word is that it watches
         self.quiet_until = 0
         self.entries: dict[int, api.WorkerEntry] = {}  # the list as it stands, as discovery tells it
-        self.names: dict[int, str] = {}  # discovery's name of each executor in `entries`
         self.excluded: set[str] = set()  # out by hand: to the module they drain, whatever the list says
 
     def first(self, known: Listing) -> None:
@@ -146,7 +145,6 @@
                 say("entry-passed-over", name=endpoint.name, reason=error)
                 continue
             entries.append(entry)
-            self.names[entry.worker] = endpoint.name
         self.index = listing.index
         if kind != api.ListKind.DELTA:
             self.entries.clear()
@@ -155,7 +153,7 @@
 
     def _told(self, entry: api.WorkerEntry) -> api.WorkerEntry:
         """The entry as the module hears it: one that is out by hand drains."""
-        if self.names.get(entry.worker) in self.excluded and entry.state == api.WorkerState.READY:
+        if self.reader.names.get(entry.worker) in self.excluded and entry.state == api.WorkerState.READY:
             return replace(entry, state=api.WorkerState.DRAINING)
         return entry
 
