Read $LB_MGMT once when choosing where the door listens

Same choice and same one-line error ('cedarmill: LB_MGMT: 'nonsense' is not HOST:PORT', exit 2, tried by hand); door and settings tests pass.

--- a/cedarmill/net/config.py
+++ b/cedarmill/net/config.py
@@ -102,7 +102,8 @@
 
 def _mgmt(configured: str) -> Address | None:
     """Where the operators' door listens: `$LB_MGMT`, else the configuration's `mgmt`, else nowhere."""
-    text, source = os.environ.get("LB_MGMT") or configured, "LB_MGMT" if os.environ.get("LB_MGMT") else "mgmt"
+    told = os.environ.get("LB_MGMT")
+    text, source = (told, "LB_MGMT") if told else (configured, "mgmt")
     try:
         return Address.parse(text) if text else None
     except ValueError as error:
