Hand a replaced process's learning and jobs out to the next one

Change: decisions/memory.py takes what a brain learned out and lays it over a new one; api.Beside tells the module what the node's other process has out; ops/document.py seals documents (format, node, time, checksum); net/memory.py and net/beside.py keep them in $TMPDIR while the platform holds the clients' socket.

The document alone, without the jobs out, did not stop the refusals: reports are a second old.

--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -202,6 +202,10 @@
             self.listed_ready |= ready
         self._tell(now, news)
 
+    def beside(self, now: int, worker: int, slots: float, memory: float) -> None:
+        """What another process of this node has out at a backend now."""
+        self._tell(now, api.Beside(worker, slots, memory))
+
     def may_write(self, now: int, attempt: Attempt) -> bool:
         """Whether an attempt may still be sent: it can outlive its right while it waits to connect."""
         req = attempt.req
--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -66,7 +66,8 @@
             api.RequestArrived: self._arrived, api.RequestWithdrawn: self._withdrawn,
             api.AttemptStarted: self._started, api.AttemptProgress: self._progress,
             api.StreamStarted: self._progress, api.AttemptEnded: self._ended, api.ProbeEnded: self._probed,
-            api.TimerFired: self._fired, api.WorkerList: self._listed, api.PeerMessage: lambda _: None}
+            api.TimerFired: self._fired, api.WorkerList: self._listed, api.PeerMessage: lambda _: None,
+            api.Beside: self._beside}
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event at its time (us) and return the actions in order."""
@@ -87,7 +88,7 @@
         worker.lay_ghosts(self.now - 1)
         if self.slots_at >= 0:
             free = report[self.slots_at]
-            worker.base = (own := sum(r.slots for r in ran)) + math.floor(free + 0.5)
+            worker.base = (own := worker.beside + sum(r.slots for r in ran)) + math.floor(free + 0.5)
             # where starts go untold, own jobs that wait look like slots: only free ones are sure
             sure = worker.base if self.settings.tells_start else math.floor(free + 0.5)
             worker.slots = max(worker.slots, sure)
@@ -100,7 +101,15 @@
         if self.errors_at >= 0:  # of all dispatchers' jobs: far more than own ones could tell
             worker.ill = report[self.errors_at] * self.run / 1e6
         if self.memory_at >= 0:
-            worker.memory_base = sum(r.memory for r in ran) + report[self.memory_at]
+            worker.memory_base = worker.memory_beside + sum(r.memory for r in ran) + report[self.memory_at]
+
+    def _beside(self, event: api.Beside) -> None:
+        """Jobs of the node's other process hold slots as own ones do; only that one knows when they end."""
+        if (worker := self.workers.get(event.worker)) is not None:
+            worker.held += event.slots - worker.beside
+            worker.memory_held += event.memory - worker.memory_beside
+            worker.beside, worker.memory_beside = event.slots, event.memory
+            self._pump()
 
     def _adapt(self, worker: Worker, wait: float, aim: int) -> None:
         """Waiting places grow with prompt starts, and fall once for each congestion."""
--- a/cedarmill/decisions/interface.py
+++ b/cedarmill/decisions/interface.py
@@ -270,6 +270,15 @@
     data: bytes
 
 
+@dataclass(slots=True)
+class Beside:
+    """What another process of the same node has out at a worker, in all: an upgrade runs two for a time."""
+
+    worker: int
+    slots: float
+    memory: float
+
+
 Event = (
     WorkerList
     | RequestArrived
@@ -281,6 +290,7 @@
     | ProbeEnded
     | TimerFired
     | PeerMessage
+    | Beside
 )
 
 
--- a/cedarmill/decisions/state.py
+++ b/cedarmill/decisions/state.py
@@ -22,6 +22,8 @@
     memory_base: float = math.inf
     held: float = 0.0  # slots of own attempts out and of ghosts
     memory_held: float = 0.0
+    beside: float = 0.0  # of `held`: of attempts out at another process of this node
+    memory_beside: float = 0.0
     listed: bool = True
     own: "dict[tuple[int, int], Attempt]" = field(default_factory=dict)
     ghosts: "list[Attempt]" = field(default_factory=list)  # cut or overdue, perhaps still running
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/director.py
@@ -1,6 +1,7 @@
 """The director: discovery's list, first as the configuration holds it, then by a watch on its changes."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 
 import httptools
@@ -122,6 +123,7 @@
         self.told: bool | None = None  # whether the log's last word is that it watches
         self.quiet_until = 0
         self.entries: dict[int, api.WorkerEntry] = {}  # the list as it stands, as discovery tells it
+        self.heard: Callable[[], None] | None = None  # called after each news of the list
         self.excluded: set[str] = set()  # out by hand: to the module they drain, whatever the list says
 
     def first(self, known: Listing) -> None:
@@ -150,6 +152,8 @@
             self.entries.clear()
         self.entries.update((entry.worker, entry) for entry in entries)
         self.dispatch.listed(self.turn.now(), api.WorkerList(kind, [self._told(entry) for entry in entries]))
+        if self.heard is not None:
+            self.heard()
 
     def _told(self, entry: api.WorkerEntry) -> api.WorkerEntry:
         """The entry as the module hears it: one that is out by hand drains."""
--- a/cedarmill/net/hands.py
+++ b/cedarmill/net/hands.py
@@ -5,7 +5,6 @@
 process finds, so that they hold across an upgrade.
 """
 
-import os
 from collections.abc import Callable
 
 from cedarmill.log import say
@@ -21,12 +20,6 @@
 SWEEP_US = 100_000  # then between two closings of what has become idle
 
 
-def kept_file(name: str) -> KeptFile:
-    """The file of a node's marks, in `$TMPDIR`, which its processes share and an upgrade does not empty."""
-    safe = "".join(c if c.isalnum() or c in "-_." else "_" for c in name)
-    return KeptFile(os.path.join(os.environ.get("TMPDIR") or "/tmp", f"cedarmill-{safe}-exclusions.json"))
-
-
 class Hands:
     """Carries out the door's calls."""
 
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -16,10 +16,13 @@
 from cedarmill.log import say
 from cedarmill.net import door
 from cedarmill.net.backends import Backends
+from cedarmill.net.beside import Beside
 from cedarmill.net.clients import Clients
 from cedarmill.net.config import Address, Config, ConfigError, inherited_socket
 from cedarmill.net.director import Director
-from cedarmill.net.hands import Hands, kept_file
+from cedarmill.net.hands import Hands
+from cedarmill.net.kept import KeptFile, kept_path
+from cedarmill.net.memory import Keeper
 from cedarmill.net.turn import Turn
 from cedarmill.values import Options
 
@@ -60,15 +63,17 @@
         self.director = Director(self.turn, settings, config.discovery, self.backends)
         brain = Brain(settings, config.seed)
         self.dispatch = Dispatch(brain, self.deadlines, self.backends, self.director, self.budget)
-        for adapter in (self.clients, self.backends, self.director):
+        self.beside = Beside(self.turn, self.director, config.name)
+        for adapter in (self.clients, self.backends, self.director, self.beside):
             adapter.dispatch = self.dispatch
         self.draining = False
         self.term_at = 0  # when SIGTERM came
         self.checkers: list = []
-        kept = kept_file(config.name)
-        self.hands = Hands(self.turn, self.clients, self.director, kept, lambda: self.draining)
+        marks = KeptFile(kept_path(config.name, "exclusions"))
+        self.hands = Hands(self.turn, self.clients, self.director, marks, lambda: self.draining)
         self.door = door.Door(self.turn, self.hands.obey)
         self.inherited = inherited_socket()
+        self.keeper = Keeper(self.turn, brain, self.director, config.name, lambda: self.draining)
 
     def _listen_for_checkers(self) -> None:
         """The listeners of other installations; raises OSError."""
@@ -107,12 +112,16 @@
         self._listen_for_checkers()
         self.hands.start()
         self.director.first(self.config.known)
+        if self.inherited is not None:  # a second process can be started beside this one
+            self.keeper.start()
+            self.beside.start()
         self.deadlines.add(self.turn.now() + self.options.ledger_every_us, self._account_again)
         self.loop.call_soon(self._started)
         gc.collect()
         gc.freeze()
         self.turn.end()
         self.loop.run_forever()
+        self.beside.end()
         say("ended", name=self.config.name)
 
     def _started(self) -> None:
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,123 @@
+"""What outlives a process: sealed documents, and a brain's memory laid over a new one."""
+
+import unittest
+
+from helpers import Driver, entry, sends
+
+from cedarmill.decisions import interface as api
+from cedarmill.decisions.memory import out, recall, recall_worker, remember
+from cedarmill.ops import document
+
+HOUR_US = 3_600_000_000
+NAMES = {1: "s-1", 2: "s-2"}
+
+
+class Documents(unittest.TestCase):
+    """Half of what another process knew is worse than nothing."""
+
+    def setUp(self) -> None:
+        self.text = document.seal("memory", "n0", 5_000_000, b'{"a":1}')
+
+    def refused(self, text: bytes, kind: str = "memory", node: str = "n0") -> str:
+        with self.assertRaises(ValueError) as raised:
+            document.unseal(text, kind, node)
+        return str(raised.exception)
+
+    def test_what_was_sealed_comes_back_with_its_time(self):
+        self.assertEqual(document.unseal(self.text, "memory", "n0"), (5_000_000, b'{"a":1}'))
+
+    def test_torn_at_every_byte(self):
+        for cut in range(len(self.text)):
+            with self.subTest(cut=cut):
+                self.refused(self.text[:cut])
+
+    def test_one_byte_changed_in_the_body(self):
+        self.assertIn("torn", self.refused(self.text.replace(b'"a":1', b'"a":2')))
+
+    def test_from_a_newer_version_another_node_or_of_another_kind(self):
+        self.assertIn("format 2", self.refused(self.text.replace(b'"format":1', b'"format":2')))
+        self.assertIn("of node n0", self.refused(self.text, node="n1"))
+        self.assertIn("holds memory", self.refused(self.text, kind="exclusions"))
+
+    def test_an_hour_old_or_from_a_clock_that_is_ahead(self):
+        self.assertEqual(document.age_us(5_000_000, 6_000_000, 30_000_000), 1_000_000)
+        for now in (5_000_000 + HOUR_US, 5_000_000 - HOUR_US):
+            with self.assertRaises(ValueError):
+                document.age_us(5_000_000, now, 30_000_000)
+
+
+class Learned(unittest.TestCase):
+    """A brain that took up what another learned decides as that one would."""
+
+    def old(self) -> Driver:
+        driver = Driver(tells_start=False)
+        driver.report(1, 4.0)
+        driver.report(2, 4.0)
+        return driver
+
+    def after(self, old: Driver, age_us: int = 0, entries=None) -> Driver:
+        memory = remember(old.brain, NAMES, old.now)
+        new = Driver(tells_start=False, seed=2, entries=entries)
+        written = new.now - age_us
+        self.assertTrue(recall(new.brain, memory, written))
+        for number, name in NAMES.items():
+            recall_worker(new.brain.workers[number], memory.workers[name], written)
+        return new
+
+    def sent(self, driver: Driver, count: int = 14) -> int:
+        return sum(len(sends(driver.arrive(0))) for _ in range(count))
+
+    def test_places_and_slots_are_known_from_the_start(self):
+        new = self.after(self.old())
+        self.assertEqual(self.sent(new), 8)  # four at each, and half a place to wait is none
+
+    def test_news_age_while_the_new_process_starts(self):
+        new = self.after(self.old(), age_us=700_000)
+        self.assertEqual(new.now - new.brain.workers[1].heard_at, 700_000)
+
+    def test_jobs_of_the_other_process_hold_slots_till_it_tells_their_end(self):
+        """A report that shows none free is as old as ever; the other process knows of an end at once."""
+        new = self.after(self.old())
+        for worker in (1, 2):
+            new.feed(api.Beside(worker, 4.0, 0.0))
+            new.report(worker, 0.0)
+        self.assertEqual(self.sent(new), 0)
+        new.feed(api.Beside(1, 1.0, 0.0))
+        self.assertEqual(self.sent(new), 3)
+
+    def test_what_is_out_is_told_without_what_others_have_out(self):
+        old = self.old()
+        self.sent(old, 3)
+        old.feed(api.Beside(1, 2.0, 1.0))
+        told = out(old.brain, NAMES)
+        self.assertEqual(sum(slots for slots, _ in told.values()), 3.0)
+
+    def test_a_worker_that_restarted_since_is_not_taken_for_the_old_one(self):
+        entries = [entry(1, started_at=999_000_000), entry(2)]
+        new = self.after(self.old(), entries=entries)
+        self.assertEqual(new.brain.workers[1].slots, 1.0)
+        self.assertEqual(new.brain.workers[2].slots, 4.0)
+
+    def test_a_start_listed_a_millisecond_apart_is_the_same_process(self):
+        old = Driver(tells_start=False, entries=[entry(1, started_at=900_000_000), entry(2)])
+        old.report(1, 4.0)
+        new = self.after(old, entries=[entry(1, started_at=900_001_000), entry(2)])
+        self.assertEqual(new.brain.workers[1].slots, 4.0)
+        again = [entry(1, started_at=900_001_000), entry(2)]
+        new.feed(api.WorkerList(api.ListKind.FULL, again))
+        self.assertEqual(new.brain.workers[1].slots, 4.0)
+
+    def test_what_a_cold_worker_was_sent_counts_on(self):
+        """Rule 4 sees one node: its next process must not spend the window's budget once more."""
+        listed = [entry(1, started_at=999_900_000), entry(2, started_at=999_900_000)]
+        old = Driver(tells_start=False, entries=listed)
+        self.assertTrue(sends(old.arrive(0)))
+        new = self.after(old, entries=listed)
+        before, after = ({n: w.cold_log for n, w in d.brain.workers.items()} for d in (old, new))
+        self.assertEqual(before, after)
+        self.assertEqual(sum(map(len, after.values())), 1)
+
+    def test_other_settings_take_up_nothing(self):
+        memory = remember(self.old().brain, NAMES, 1_000_000_000)
+        memory.means.pop()
+        self.assertFalse(recall(Driver().brain, memory, 1_000_000_000))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,12 +1,17 @@
 """Replacing the process: the clients' socket inherited by descriptor, and a hand-over under load."""
 
+import json
 import os
 import socket
+from pathlib import Path
 
 from nodes import WAIT, Client, NodeCase
 
+from cedarmill.net.kept import KeptInPlace
+from cedarmill.ops import document
 
-class Inherited(NodeCase):
+
+class HeldSocket(NodeCase):
     """The platform holds the clients' socket; each process gets it by the number in `$LB_SOCKET_FD`."""
 
     backends = 1
@@ -18,6 +23,8 @@
         self.env = {"LB_SOCKET_FD": str(self.held.fileno())}
         super().setUp()
 
+
+class Inherited(HeldSocket):
     def test_the_node_serves_on_the_socket_it_inherits(self):
         self.assertTrue(any("inherited as descriptor" in line for line in self.log), self.log)
         self.assertEqual(self.port, self.held.getsockname()[1])
@@ -78,3 +85,91 @@
         sock = socket.socket()
         self.addCleanup(sock.close)
         self.assertIn("not a listening TCP socket", self.refused(sock.fileno(), (sock.fileno(),)))
+
+
+class HandOver(HeldSocket):
+    """What the old process learned, and what it still has out, is the new one's from its start."""
+
+    def kept(self, kind: str = "memory") -> KeptInPlace:
+        return KeptInPlace(f"{self.tmpdir.name}/cedarmill-n0-{kind}.json")
+
+    def learn(self, free: int) -> None:
+        """Two jobs, whose answers report so many free slots; then wait till that is kept."""
+        for _ in range(2):
+            client = self.client().ask()
+            asked = self.servers[0].next()
+            asked.head()
+            asked.job("done", result="fine", load={"x0": free, "x1": 100.0})
+            asked.wire.send("0\r\n\r\n")
+            self.assertEqual(client.answer()[0], 200)
+        self.wait_for(lambda: self.slots() >= free)
+
+    def slots(self) -> float:
+        """Of the one backend, as kept last."""
+        texts = self.kept().texts()
+        body = document.newest(texts, "memory", "n0")[1] if texts else b'{"workers":{}}'
+        return json.loads(body)["workers"].get("s-0", {}).get("slots", 0)
+
+    def next_process(self) -> None:
+        self.log.clear()
+        self.process = self.start(self.config())
+        self.wait_log("serves on")
+
+    def test_jobs_out_at_the_old_process_hold_their_slots_in_the_new_one_till_they_end(self):
+        """Without the hand-over the new process sends five jobs more to the five slots, to wait there."""
+        self.learn(free=5)
+        held = [self.client().ask() for _ in range(5)]
+        asked = [self.servers[0].next() for _ in held]
+        old = self.process
+        told = self.kept(f"out-{old.pid}")
+        self.wait_for(lambda: any(b"[5.0," in text for text in told.texts()))
+        self.next_process()
+        self.assertTrue(any("took up what" in line for line in self.log), self.log)
+        old.send_signal(15)
+        while (line := old.stderr.readline()) and "no new sessions" not in line:
+            pass  # from then on only the new process accepts
+        more = [self.client().ask() for _ in range(5)]
+        server = self.servers[0]
+        self.wait_for(lambda: server.asked.qsize() + sum(c.answered(0) for c in more) == 5)
+        self.assertLess(server.asked.qsize(), 3)  # news fade: one or two may be tried all the same
+        self.assertEqual({c.answer()[0] for c in more if c.answered(0)}, {503})
+        for _ in range(server.asked.qsize()):
+            server.next().done()
+        for job in asked:
+            job.done()
+        self.assertEqual([client.answer()[0] for client in held], [200] * 5)
+        self.assertEqual(old.wait(WAIT), 0)
+        old.stderr.close()
+        client = self.client().ask()
+        self.servers[0].next().done()
+        self.assertEqual(client.answer()[0], 200)
+
+    def test_the_old_process_killed_in_the_hand_over_holds_nothing_for_long(self):
+        self.learn(free=5)
+        for _ in range(5):
+            self.client().ask()
+            self.servers[0].next()
+        old = self.process
+        self.next_process()
+        old.kill()
+        old.wait(WAIT)
+        old.stderr.close()
+
+        def served() -> bool:
+            client = self.client().ask()
+            self.wait_for(lambda: client.answered(0) or not self.servers[0].asked.empty())
+            if self.servers[0].asked.empty():
+                return False
+            self.servers[0].next().done()
+            return client.answer()[0] == 200
+
+        self.wait_for(served)
+
+    def test_a_torn_document_is_said_and_not_taken_up(self):
+        self.learn(free=5)
+        self.process.kill()  # or it would write the document anew
+        self.process.communicate()
+        path = Path(self.kept().path)
+        path.write_bytes(path.read_bytes().replace(b'"slots":5', b'"slots":9'))
+        self.next_process()
+        self.assertTrue(any("not taken up: torn" in line for line in self.log), self.log)
