Do not close a session whose req has come and is not read yet

Change: a session with bytes unread at its socket (FIONREAD) is not idle. Tested over a real socket pair, the test fails without the change; SIGSTOP of the whole node does not show it, since the loop is then in its poll and reads first.

--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -1,10 +1,14 @@
 """Client sessions: HTTP/1.1 from clients, one req at a time on each, and their final answers."""
 
 import asyncio
+import contextlib
+import fcntl
 import math
 import re
 import socket
+import termios
 import time
+from array import array
 from collections import deque
 from itertools import islice
 
@@ -91,7 +95,7 @@
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.message: Message | None = None  # what arrives now
-        self.head_bytes = self.unread = 0
+        self.head_bytes = self.passed_over = 0
         self.proven = False  # whether it has sent a good request
         self.born = self.turn.now()
         self.faulty = False  # its input has gone wrong: nothing more is read from it
@@ -147,6 +151,13 @@
     def idle(self) -> bool:
         return self.answering is None and self.message is None and not self.ending
 
+    def unread(self) -> bool:
+        """Whether bytes wait at the socket: a loop that was held up runs its timers before it reads them."""
+        waiting = array("i", [0])
+        with contextlib.suppress(OSError):
+            fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
+        return waiting[0] > 0
+
     def close(self) -> None:
         """End it when all that was written has left, or soon."""
         self.ending = True
@@ -156,8 +167,8 @@
     @callback
     def data_received(self, data: bytes) -> None:
         if self.ending or self.faulty:
-            self.unread += len(data)
-            self._pause(self.unread > MAX_UNREAD)
+            self.passed_over += len(data)
+            self._pause(self.passed_over > MAX_UNREAD)
             return
         try:
             self.parser.feed_data(data)
@@ -479,7 +490,7 @@
         for session in going:
             session.abort()
         if not going:
-            going = list(islice(self.resting, ACCEPTS))
+            going = [session for session in islice(self.resting, ACCEPTS) if not session.unread()]
             for session in going:
                 session.close()
                 self.resting.pop(session, None)
@@ -545,8 +556,8 @@
         self._socket = None
 
     def close_idle(self) -> None:
-        """End the sessions that hold no req."""
-        for session in [session for session in self.sessions if session.idle]:
+        """End the sessions that hold no req, nor one that has come and is not read yet."""
+        for session in [session for session in self.sessions if session.idle and not session.unread()]:
             session.close()
 
     def all_gone(self) -> bool:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -5,14 +5,17 @@
 import tempfile
 import unittest
 
+from helpers import settings
 from nodes import WAIT, NodeCase
 
 from cedarmill.core.deadlines import Deadlines
+from cedarmill.net.clients import Clients, ClientSession
 from cedarmill.net.door import SESSIONS
 from cedarmill.net.hands import LOOK_US, Hands
 from cedarmill.net.kept import KeptFile
 from cedarmill.ops import door
 from cedarmill.ops.exclusions import Exclusions
+from cedarmill.values import DeadlineOptions
 
 
 def call(port: int, method: str, path: str) -> tuple[int, bytes]:
@@ -217,6 +220,37 @@
         self.assertEqual(self.ready(), 200)
 
 
+class Wire:
+    """A transport over a real socket, which the test does not read."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.closed = sock, False
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        return self.sock
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class Unread(unittest.TestCase):
+    def test_a_req_that_has_come_and_is_not_read_yet_is_not_closed_on(self):
+        """A loop that was held up within a turn runs its timers before it reads: the closing came first."""
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        clients = Clients(Ticking(), settings(), 8, DeadlineOptions())
+        session = ClientSession(clients)
+        session.transport = Wire(ours)
+        clients.sessions.add(session)
+        theirs.send(b"POST /api HTTP/1.1\r\n")
+        clients.close_idle()
+        self.assertFalse(session.transport.closed)
+        ours.recv(100)
+        clients.close_idle()
+        self.assertTrue(session.transport.closed)
+
+
 class NoRoom(DoorCase):
     """Descriptors at the node's least: the clients' sessions full of half-written requests."""
 
