Try one cut of running work at a time until cuts are seen to pay

Lines: Brain._preempt took every victim while pays > PAYS_FLOOR, and _outcome teaches pays only at an end. Ruled out: resets (one) and the drain (clients moved without a loss).

Change: up to PAYS_SURE one job sent in place of a cut one may be out; the next cut waits for its end.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -22,6 +22,7 @@
 TRIAL = 2.0  # connect time-outs before a trial, doubled for each strike, at most 4 times
 PAYS_START = 0.65  # share of cuts of running jobs that make room at once, as taken at first
 PAYS_FLOOR = 0.6  # under this share running jobs are not cut, only waiting ones
+PAYS_SURE = 0.75  # up to this share one cut at a time is tried, till the job in its place has shown its worth
 COLD_MARGIN = 0.8  # part of the cold budget used: job sizes vary, and few nodes try in each window
 OVER_SHARE = 1.2  # times this dispatcher's part of a tenant's quota: traffic over its share
 TENANT_WINDOW = 4e6  # us, memory of the tenants' rates
@@ -61,6 +62,7 @@
         self.slots: dict[int, float] = {}  # most ever seen at a worker of each kind
         self.zones = [1.0, 1.0]  # idle slots by size, as reports show them: in the own zone, in the others
         self.left: list[Worker] = []  # where own jobs ended last
+        self.trial: Attempt | None = None  # sent in place of running work that was cut, the last one
         self.pays, self.top = PAYS_START, max(spec.worth for spec in settings.classes) or 1.0
         self.handlers = {
             api.RequestArrived: self._arrived, api.RequestWithdrawn: self._withdrawn,
@@ -193,6 +195,8 @@
     def _preempt(self, request: Request) -> bool:
         """Cut own jobs of strictly lower worth on the one worker where they cost least, and send there."""
         best: list[Attempt] = []
+        wait = self.pays <= PAYS_SURE and self.trial is not None and self.trial.out
+        cuts = self.pays > PAYS_FLOOR and not wait
         latest = islice(reversed(self.requests.values()), 4 * SAMPLE * self.settings.can_cancel)
         for worker in {a.worker.id: a.worker for r in latest for a in r.attempts if a.out}.values():
             if not (self._trust(worker, request) and self._may_send(request, worker)):
@@ -200,7 +204,7 @@
             need = request.slots - (worker.base + worker.waiting - worker.held)
             need_memory = request.memory - (worker.memory_base - worker.memory_held)
             lower = [a for a in worker.own.values() if a.request.rank < request.rank and not a.cut
-                     and (not a.started or self.pays > PAYS_FLOOR)]
+                     and (cuts or not a.started)]
             lower.sort(key=self._cost, reverse=True)
             victims: list[Attempt] = []
             while lower and max(need, need_memory) > 0:
@@ -400,6 +404,7 @@
             self._strike(worker, 0)
         attempt = Attempt(request, worker, len(request.attempts), self.now, worker.zone, worker.cell, cut,
                           started=0 if self.settings.tells_start else self.now)  # starts may not be told
+        self.trial = attempt if cut else self.trial
         request.attempts.append(attempt)
         worker.own[request.id, attempt.number] = attempt
         request.asks = 0
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -137,6 +137,19 @@
     assert d.brain.pays < PAYS_FLOOR
 
 
+def test_one_cut_at_a_time_is_tried_till_cuts_are_known_to_pay():
+    """Ten running jobs were cut and failed before the first job in place had ended and shown no gain."""
+    d = Driver(workers=3, tells_start=False)
+    for worker in (1, 2, 3):
+        d.report(worker, 4)
+    while sends(d.arrive(0)):
+        pass
+    cuts = [kinds(d.arrive(1)).count("Cancel") for _ in range(8)]
+    assert sum(cuts) == 1
+    d.brain.pays = 0.9  # seen to pay: each arrival of higher worth has its room
+    assert sum(kinds(d.arrive(1)).count("Cancel") for _ in range(3)) >= 3
+
+
 @pytest.mark.parametrize("hint", [100_000, 1_000_000])
 def test_a_refused_client_comes_back_while_its_job_can_be_in_time(hint):
     """Advice of some 30 ms used up a client's two retries in 75 ms, with the pool as full as before."""
