Count no slots for jobs that wait, and judge lateness by each job's own wanted time

Brain._learn counted every own job out as a slot when a report came; Brain._outcome held waiting against the class's mean, which late jobs raise.

Change: where reports tell a queue, the own part of it is taken out of the slots learned, down to one while own jobs are there; a job is late by aim, stretch and hint.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -59,6 +59,7 @@
         columns = {name: n for n, name in enumerate(settings.report_fields)}
         self.errors_at = columns.get("errors_per_s", -1)
         self.slots_at, self.memory_at = columns.get("free_slots", -1), columns.get("free_memory", -1)
+        self.queue_at = columns.get("queue", -1)
         self.slots: dict[int, float] = {}  # most ever seen at a worker of each kind
         self.zones = [1.0, 1.0]  # idle slots by size, as reports show them: in the own zone, in the others
         self.left: list[Worker] = []  # where own jobs ended last
@@ -91,6 +92,9 @@
         if self.slots_at >= 0:
             free = report[self.slots_at]
             worker.base = (own := worker.beside + sum(r.slots for r in ran)) + math.floor(free + 0.5)
+            if self.queue_at >= 0 and free < 0.5:  # own part of those that wait there: they hold no slot
+                queued = report[self.queue_at]
+                worker.base = max(min(own, 1.0), worker.base - queued * own / max(own, worker.slots + queued))
             # where starts go untold, own jobs that wait look like slots: only free ones are sure
             sure = worker.base if self.settings.tells_start else math.floor(free + 0.5)
             worker.slots = max(worker.slots, sure)
@@ -319,7 +323,8 @@
             mean = self.means[request.index]
             ran = max(1, self.now - (attempt.started or attempt.sent))
             if not self.settings.tells_start:
-                self._adapt(worker, ran - mean[0], request.spec.aim_us)
+                late = ran - self._slack(request) - (request.hint_us or mean[0])  # by its own wanted time
+                self._adapt(worker, late + request.spec.aim_us, request.spec.aim_us)
                 if attempt.after_cut:  # against its hint: whether it waited for work that goes on
                     wait = ran - math.exp(mean[1]) * (request.hint_us or 1)
                     self.pays += ((wait <= WAIT_SEEN * request.spec.aim_us) - self.pays) * 2 / MEMORY
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -137,6 +137,52 @@
     assert d.brain.pays < PAYS_FLOOR
 
 
+QUEUED = {"tells_start": False, "report_fields": ("free_slots", "free_memory", "queue")}
+
+
+def queued_driver(*classes: api.JobClass) -> Driver:
+    """One worker of two slots that holds four own jobs, as sent before any report told of a queue."""
+    d = Driver(*classes, workers=1, **QUEUED)
+    d.feed(api.ProbeEnded(1, Outcome.OK, (2.0, 100.0, 0.0)))
+    d.brain.workers[1].base = 4.0
+    for _ in range(4):
+        assert sends(d.arrive(0))
+    return d
+
+
+def test_own_jobs_that_wait_by_report_are_no_slots_learned():
+    """The pool grew with every job that waited: half of all jobs came late once the fleet was full."""
+    d = queued_driver()
+    d.feed(api.ProbeEnded(1, Outcome.OK, (0.0, 98.0, 2.0)))
+    assert d.brain.workers[1].base == 2.0
+    d.end(1, 1, Outcome.OK)
+    assert not sends(d.arrive(0))  # three are left: two run, one waits
+
+
+def test_a_worker_full_of_others_jobs_has_one_slot_at_most_and_none_without_own_jobs():
+    """With a slot believed at every full worker, a fleet of 200 nodes queued where none of it was served."""
+    d = queued_driver()
+    d.feed(api.ProbeEnded(1, Outcome.OK, (0.0, 98.0, 40.0)))
+    assert d.brain.workers[1].base == 1.0
+    d = Driver(workers=1, **QUEUED)
+    d.feed(api.ProbeEnded(1, Outcome.OK, (0.0, 98.0, 5.0)))
+    assert d.brain.workers[1].base == 0.0
+    assert not sends(d.arrive(0))
+
+
+def test_places_to_wait_fall_when_jobs_miss_their_own_wanted_time():
+    """Against the class's mean, which late jobs raise, a fleet that was late throughout looked well."""
+    late = api.JobClass("l", 1.0, 200_000, 5_000_000, Effect.SAFE, aim_stretch=2.0)
+    d = Driver(late, UNSAFE, workers=1, **QUEUED)
+    d.feed(api.ProbeEnded(1, Outcome.OK, (2.0, 100.0, 0.0)))
+    d.brain.means[0] = [3_000_000.0, 3.0, 50]
+    before = d.brain.workers[1].waiting
+    d.arrive(0, hint_us=100_000)
+    d.now += 3_000_000
+    d.end(1, 1, Outcome.OK)
+    assert d.brain.workers[1].waiting < before
+
+
 def test_one_cut_at_a_time_is_tried_till_cuts_are_known_to_pay():
     """Ten running jobs were cut and failed before the first job in place had ended and shown no gain."""
     d = Driver(workers=3, tells_start=False)
