--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -154,6 +154,22 @@
         return answer.status, answer.read()
 
 
+def call(port: int, method: str, path: str) -> tuple[int, bytes]:
+    """One call on a connection of its own, as the operators' tools make it."""
+    with socket.create_connection(("127.0.0.1", port), timeout=WAIT) as sock:
+        sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n".encode())
+        return read_answer(sock)
+
+
+def read_answer(sock: socket.socket) -> tuple[int, bytes]:
+    """Status and body of an answer that ends its connection."""
+    text = b""
+    while chunk := sock.recv(4096):
+        text += chunk
+    head, _, body = text.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
 class NodeCase(unittest.TestCase):
     """A node with its backends and a director; every test starts its own."""
 
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -1,12 +1,17 @@
 """The operators' door on the real program: calls, slow callers, executors out by hand, evacuation."""
 
+import contextlib
+import os
+import queue
 import re
+import resource
 import socket
 import tempfile
+import threading
 import unittest
 
 from helpers import settings
-from nodes import WAIT, NodeCase
+from nodes import WAIT, NodeCase, call, read_answer
 
 from cedarmill.core.deadlines import Deadlines
 from cedarmill.net.clients import Clients, ClientSession
@@ -19,22 +24,6 @@
 from cedarmill.values import DeadlineOptions
 
 
-def call(port: int, method: str, path: str) -> tuple[int, bytes]:
-    """One call on a connection of its own, as the operators' tools make it."""
-    with socket.create_connection(("127.0.0.1", port), timeout=WAIT) as sock:
-        sock.sendall(f"{method} {path} HTTP/1.1\r\nHost: door\r\nContent-Length: 0\r\n\r\n".encode())
-        return read_answer(sock)
-
-
-def read_answer(sock: socket.socket) -> tuple[int, bytes]:
-    """Status and body of an answer that ends its connection."""
-    text = b""
-    while chunk := sock.recv(4096):
-        text += chunk
-    head, _, body = text.partition(b"\r\n\r\n")
-    return int(head.split()[1]), body
-
-
 class Calls(unittest.TestCase):
     """The table of calls, without a node."""
 
@@ -203,6 +192,16 @@
         self.assertEqual(call(self.door, "PUT", "/api/exclude/s-1")[0], 200)
         self.assertEqual(self.served_by(), 0)
 
+    def test_one_that_discovery_no_longer_lists_can_be_put_back(self):
+        watch = self.watch()
+        self.assertEqual(call(self.door, "PUT", "/api/exclude/s-0")[0], 200)
+        watch.line({"index": 9, "snapshot": True, "endpoints": [self.entry(1)]})
+        self.wait_log("watching from index 9")
+        self.assertEqual(call(self.door, "PUT", "/api/include/s-0"), (200, b"included\n"))
+        watch.line({"index": 10, "snapshot": True, "endpoints": [self.entry(0)]})
+        watch.line({"index": 11, "snapshot": False, "endpoints": [self.entry(1, status="DELETED")]})
+        self.wait_for(lambda: self.served_by() == 0)
+
     def test_the_marks_hold_for_the_next_process_of_the_node(self):
         self.assertEqual(call(self.door, "PUT", "/api/exclude/s-0")[0], 200)
         self.process.kill()
@@ -238,6 +237,63 @@
         self.assertEqual(self.ready(), 200)
 
 
+    def test_rejoined_while_idle_connections_are_being_closed(self):
+        """What is open then stays, and the closing does not come back."""
+        gone = self.client()
+        gone.request("GET", "/ready")
+        self.assertEqual(gone.answer()[0], 200)
+        call(self.door, "PUT", "/api/evacuate")
+        self.assertEqual(gone.sock.recv(1), b"")  # the closing has begun
+        call(self.door, "PUT", "/api/rejoin")
+        kept = self.client()
+        for _ in range(3):
+            kept.request("GET", "/ready")
+            self.assertEqual(kept.answer()[0], 200)
+            self.assertFalse(kept.answered(0.15))  # one round of the closing: nothing comes, nor the end
+
+    def test_evacuated_and_then_terminated_it_answers_what_it_holds(self):
+        busy = self.client().ask()
+        self.wait_for(lambda: any(not server.asked.empty() for server in self.servers))
+        call(self.door, "PUT", "/api/evacuate")
+        self.terminate()
+        self.wait_log("no new sessions")
+        next(server for server in self.servers if not server.asked.empty()).next().done()
+        self.assertEqual(busy.answer()[0], 200)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_a_client_that_reads_nothing_is_ended_all_the_same(self):
+        """Its answer does not fit into the sockets' buffers: without an end it would be held for ever."""
+        deaf = socket.socket()
+        self.addCleanup(deaf.close)
+        deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        deaf.connect(("127.0.0.1", self.port))
+        head = b"X-Call-Class: pin\r\nX-Caller: acme\r\nX-Budget-Ms: 6000\r\nContent-Length: 0\r\n\r\n"
+        for number in range(8):
+            deaf.sendall(b"POST /api HTTP/1.1\r\nX-Call-Id: deaf-%d\r\n" % number + head)
+        deaf.setblocking(False)
+        answered = threading.Thread(target=self.answer_all, args=("x" * 200_000,), daemon=True)
+        answered.start()
+        call(self.door, "PUT", "/api/evacuate")
+        self.wait_for(lambda: self.was_reset(deaf))
+        self.assertEqual(self.ready(), 503)
+
+    @staticmethod
+    def was_reset(sock: socket.socket) -> bool:
+        try:
+            sock.send(b"x")
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return False
+
+    def answer_all(self, result: str) -> None:
+        while self.process.poll() is None:
+            for server in self.servers:
+                with contextlib.suppress(queue.Empty, OSError):
+                    server.asked.get(timeout=0.01).done(result)
+
+
 class Wire:
     """A transport over a real socket, which the test does not read."""
 
@@ -284,3 +340,13 @@
         self.assertLessEqual(self.descriptors(), self.nofile)
         self.assertEqual(call(self.door, "PUT", "/api/exclude/s-1"), (200, b"excluded\n"))
         self.assertEqual(call(self.door, "GET", "/api/ready"), (200, b"ready\n"))
+
+    def test_a_call_waits_while_no_descriptor_is_left_and_is_then_answered(self):
+        """An accept that fails leaves the call in the backlog; closing it there would lose it."""
+        taken = sorted(map(int, os.listdir(f"/proc/{self.process.pid}/fd")))[-1] + 1
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (taken, self.nofile))
+        with socket.create_connection(("127.0.0.1", self.door), timeout=WAIT) as sock:
+            sock.sendall(b"PUT /api/exclude/s-1 HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            self.wait_log("accept failed")
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.nofile, self.nofile))
+            self.assertEqual(read_answer(sock), (200, b"excluded\n"))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,13 +2,15 @@
 
 import json
 import os
+import re
 import socket
 from pathlib import Path
 
-from nodes import WAIT, Client, NodeCase
+from nodes import WAIT, Client, NodeCase, call
 
 from cedarmill.net.kept import KeptInPlace
 from cedarmill.ops import document
+from cedarmill.ops.exclusions import Exclusions
 
 
 class HeldSocket(NodeCase):
@@ -23,6 +25,12 @@
         self.env = {"LB_SOCKET_FD": str(self.held.fileno())}
         super().setUp()
 
+    def next_process(self) -> None:
+        """Start one more process of the node, beside the one that serves."""
+        self.log.clear()
+        self.process = self.start(self.config())
+        self.wait_log("serves on")
+
 
 class Inherited(HeldSocket):
     def test_the_node_serves_on_the_socket_it_inherits(self):
@@ -54,6 +62,85 @@
         self.assertIsNone(new.poll())
 
 
+class TwoDoors(HeldSocket):
+    """Two processes with a door each, as during an upgrade."""
+
+    backends = 2
+
+    def config(self) -> dict:
+        return {**super().config(), "mgmt": "127.0.0.1:0"}
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.old, self.old_door = self.process, self.told_door()
+        self.addCleanup(self.end_old)
+        self.kept_session = self.client()  # of the old process: the only one so far
+        self.kept_session.request("GET", "/ready")
+        self.assertEqual(self.kept_session.answer()[0], 200)
+        self.next_process()
+        self.new_door = self.told_door()
+
+    def end_old(self) -> None:
+        if self.old.poll() is None:
+            self.old.kill()
+        self.old.communicate()
+
+    def told_door(self) -> int:
+        line = next(line for line in self.log if "operators' door on" in line)
+        return int(re.search(r"port (\d+)", line)[1])
+
+    def told(self, process, words: str) -> None:
+        """Read that process's log up to a line with those words."""
+        while words not in (line := process.stderr.readline()):
+            self.assertTrue(line, f"no {words!r}")
+
+    def old_sends_to(self) -> int:
+        """Where the old process sends the next req of its kept session."""
+        self.kept_session.ask()
+        self.wait_for(lambda: any(not server.asked.empty() for server in self.servers))
+        number = next(n for n, server in enumerate(self.servers) if not server.asked.empty())
+        self.servers[number].next().done()
+        self.assertEqual(self.kept_session.answer()[0], 200)
+        return number
+
+    def test_a_mark_made_at_the_new_door_holds_in_the_old_process(self):
+        self.assertEqual(call(self.new_door, "PUT", "/api/exclude/s-0")[0], 200)
+        self.told(self.old, "kept file: s-0")
+        self.assertEqual({self.old_sends_to() for _ in range(6)}, {1})
+
+    def test_a_mark_made_at_the_old_door_holds_in_the_new_process_after_the_old_one(self):
+        self.assertEqual(call(self.old_door, "PUT", "/api/exclude/s-0")[0], 200)
+        self.wait_log("kept file: s-0")
+        self.old.terminate()
+        self.assertEqual(self.old.wait(WAIT), 0)
+        self.assertEqual({self.served_by() for _ in range(6)}, {1})
+
+    def test_marks_made_at_both_doors_one_after_the_other_both_hold(self):
+        self.assertEqual(call(self.new_door, "PUT", "/api/exclude/s-0")[0], 200)
+        self.assertEqual(call(self.old_door, "PUT", "/api/exclude/s-1")[0], 200)
+        self.assertEqual(call(self.new_door, "PUT", "/api/include/s-1")[0], 200)
+        marks = Exclusions("n0")
+        marks.adopt(Path(f"{self.tmpdir.name}/cedarmill-n0-exclusions.json").read_bytes(), 0)
+        self.assertEqual(set(marks.since), {"s-0"})
+
+    def test_a_third_start_while_two_live_loses_nothing(self):
+        """The second ends before the first, which still holds a job; the third serves on."""
+        both = self.process
+        self.kept_session.ask()
+        self.wait_for(lambda: any(server.asked.qsize() for server in self.servers))
+        self.next_process()
+        third = self.told_door()
+        both.terminate()
+        self.assertEqual(both.wait(WAIT), 0)
+        both.stderr.close()
+        self.old.terminate()
+        next(server for server in self.servers if server.asked.qsize()).next().done()
+        self.assertEqual(self.kept_session.answer()[0], 200)
+        self.assertEqual(self.old.wait(WAIT), 0)
+        self.assertEqual(call(third, "GET", "/api/ready"), (200, b"ready\n"))
+        self.served_by()
+
+
 class BadDescriptor(NodeCase):
     """A descriptor that is no listening socket is a one-line error and exit 2, before anything listens."""
 
@@ -110,11 +197,6 @@
         body = document.newest(texts, "memory", "n0")[1] if texts else b'{"workers":{}}'
         return json.loads(body)["workers"].get("s-0", {}).get("slots", 0)
 
-    def next_process(self) -> None:
-        self.log.clear()
-        self.process = self.start(self.config())
-        self.wait_log("serves on")
-
     def test_jobs_out_at_the_old_process_hold_their_slots_in_the_new_one_till_they_end(self):
         """Without the hand-over the new process sends five jobs more to the five slots, to wait there."""
         self.learn(free=5)
