Share the node's descriptors and memory between the two processes of an upgrade

Change: ops/share.py gives a process what the others leave (they tell what they hold in the document of jobs out), its least in any case; bounds change as that does, and it has all again when it is alone.

--- a/cedarmill/log.py
+++ b/cedarmill/log.py
@@ -52,6 +52,7 @@
     "memory-unkept": Event(logging.WARNING, "what this process learned not kept: {reason}"),
     "beside-failed": Event(logging.WARNING, "what this node's other process has out not exchanged: {reason}"),
     "beside-unread": Event(logging.WARNING, "what this node's other process has out not read: {reason}"),
+    "beside": Event(logging.INFO, "other processes of this node that live: {others}"),
     "evacuated": Event(logging.INFO, "evacuated: /ready says no, answers end their connections, {held} held"),
     "rejoined": Event(logging.INFO, "rejoined: /ready says yes again"),
     "defect": Event(logging.ERROR, "{what} failed"),
--- a/cedarmill/net/beside.py
+++ b/cedarmill/net/beside.py
@@ -6,6 +6,7 @@
 """
 
 import os
+from collections.abc import Callable
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from cedarmill.net.kept import KeptInPlace, kept_path
 from cedarmill.net.turn import Turn, unix_us
 from cedarmill.ops import document
+from cedarmill.ops.share import Room
 
 KIND = "out"
 ALONE_US = 100_000  # between two looks while no other process is seen
@@ -24,7 +26,16 @@
 SILENT_US = 2_000_000  # without one, its process is dead, and its jobs no longer answered for
 GONE_US = 20_000_000  # then its file is removed
 Out = dict[str, tuple[float, float]]  # slots and memory by executor
-_DECODE = msgspec.json.Decoder(Out)
+
+
+class Told(msgspec.Struct):
+    """What a process tells of itself."""
+
+    out: Out
+    room: Room  # held
+
+
+_DECODE = msgspec.json.Decoder(Told)
 
 
 class Other:
@@ -34,7 +45,7 @@
         self.kept = KeptInPlace(path)
         self.texts: list[bytes] = []
         self.at = 0  # Unix us, when what counts was written
-        self.out: Out = {}
+        self.told = Told({}, Room(0, 0))
 
     def read(self, node: str) -> None:
         """Take up what is new; raises ValueError (what held goes on) or OSError."""
@@ -42,21 +53,23 @@
             return
         self.texts = texts
         self.at, body = document.newest(texts, KIND, node)
-        self.out = _DECODE.decode(body)
+        self.told = _DECODE.decode(body)
 
 
 class Beside:
     """This process's document, and what the others' tell."""
 
-    def __init__(self, turn: Turn, director: Director, node: str) -> None:
-        self.turn, self.director, self.node = turn, director, node
+    def __init__(self, turn: Turn, director: Director, node: str, held: Callable[[], Room],
+                 shared: Callable[[list[Room]], None]) -> None:  # fmt: skip
+        self.turn, self.director, self.node, self.held, self.shared = turn, director, node, held, shared
         self.dispatch: Dispatch | None = None
         self.own = KeptInPlace(kept_path(node, f"{KIND}-{os.getpid()}"))
         self.folder, name = os.path.split(self.own.path)
         self.prefix = name[: name.rindex(KIND)] + f"{KIND}-"
         self.others: dict[str, Other] = {}  # by file
         self.told: Out = {}  # to the module
-        self.written: tuple[int, Out | None] = (0, None)
+        self.written: tuple[int, Told | None] = (0, None)
+        self.rooms: list[Room] = []  # held by the others, as last heard
 
     def start(self) -> None:
         """Look for other processes from now on."""
@@ -75,6 +88,11 @@
         except OSError as error:
             say("beside-failed", reason=error)
         self._tell(now)
+        if (rooms := [other.told.room for other in self.others.values()]) != self.rooms:
+            if len(rooms) != len(self.rooms):
+                say("beside", others=len(rooms))
+            self.rooms = rooms
+            self.shared(rooms)
         self.turn.deadlines.add(now + (TOGETHER_US if self.others else ALONE_US), self._look)
 
     def _read(self, unix: int) -> None:
@@ -102,16 +120,16 @@
     def _write(self, now: int, unix: int) -> None:
         """Tell what is out: when it changed, for one that starts reads it at once; else now and then."""
         at, before = self.written
-        table = out(self.dispatch.brain, self.director.reader.names)
-        if table != before or now - at >= BEAT_US:
-            self.own.write(document.seal(KIND, self.node, unix, msgspec.json.encode(table)))
-            self.written = now, table
+        told = Told(out(self.dispatch.brain, self.director.reader.names), self.held())
+        if told != before or now - at >= BEAT_US:
+            self.own.write(document.seal(KIND, self.node, unix, msgspec.json.encode(told)))
+            self.written = now, told
 
     def _tell(self, now: int) -> None:
         """The module hears of each executor where the sum has changed."""
         total: Out = {}
         for other in self.others.values():
-            for name, (slots, memory) in other.out.items():
+            for name, (slots, memory) in other.told.out.items():
                 before = total.get(name, (0.0, 0.0))
                 total[name] = before[0] + slots, before[1] + memory
         for name in self.told.keys() | total.keys():
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -23,6 +23,7 @@
 from cedarmill.net.hands import Hands
 from cedarmill.net.memory import Keeper
 from cedarmill.net.turn import Turn
+from cedarmill.ops.share import Limits, Room, share
 from cedarmill.values import Options
 
 OWN_DESCRIPTORS = 24  # the loop's, the log, the listening socket, the director: 14 were counted
@@ -52,17 +53,17 @@
         self.turn = Turn(self.loop, self.deadlines)
         sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         health = options.health
-        sockets -= HEALTH_DESCRIPTORS * sum(map(bool, (health.agent, health.http, health.grpc)))
-        sockets -= door.DESCRIPTORS if config.mgmt else 0
-        sessions = (sockets - OWN_DESCRIPTORS) // 2
-        in_memory = int((config.limits.memory_mb - OWN_MEMORY_MB) / SESSION_MB)
+        own = OWN_DESCRIPTORS + (door.DESCRIPTORS if config.mgmt else 0)
+        own += HEALTH_DESCRIPTORS * sum(map(bool, (health.agent, health.http, health.grpc)))
+        self.limits = Limits(sockets, own, config.limits.memory_mb, OWN_MEMORY_MB, SESSION_MB)
+        room = share(self.limits, [])
         self.budget = Budget(options.deadlines, len(settings.classes))
-        self.clients = Clients(self.turn, settings, min(sessions, in_memory), options.deadlines)
-        self.backends = Backends(self.turn, settings, sockets - OWN_DESCRIPTORS - sessions, options)
+        self.clients = Clients(self.turn, settings, room.sessions, options.deadlines)
+        self.backends = Backends(self.turn, settings, room.connections, options)
         self.director = Director(self.turn, settings, config.discovery, self.backends)
         brain = Brain(settings, config.seed)
         self.dispatch = Dispatch(brain, self.deadlines, self.backends, self.director, self.budget)
-        self.beside = Beside(self.turn, self.director, config.name)
+        self.beside = Beside(self.turn, self.director, config.name, self._holds, self._share)
         for adapter in (self.clients, self.backends, self.director, self.beside):
             adapter.dispatch = self.dispatch
         self.draining = False
@@ -73,6 +74,14 @@
         self.inherited = inherited_socket()
         self.keeper = Keeper(self.turn, brain, self.director, config.name, lambda: self.draining)
 
+    def _holds(self) -> Room:
+        """What counts against the node's limits, for its other processes."""
+        return Room(len(self.clients.sessions), self.backends.connections)
+
+    def _share(self, others: list[Room]) -> None:
+        """The node's other processes hold so much: take what they leave."""
+        self.clients.bound, self.backends.bound = share(self.limits, others)
+
     def _listen_for_checkers(self) -> None:
         """The listeners of other installations; raises OSError."""
         options = self.options.health
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -7,6 +7,7 @@
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.memory import out, recall, recall_worker, remember
 from cedarmill.ops import document
+from cedarmill.ops.share import LEAST, Limits, Room, share
 
 HOUR_US = 3_600_000_000
 NAMES = {1: "s-1", 2: "s-2"}
@@ -46,6 +47,30 @@
                 document.age_us(5_000_000, now, 30_000_000)
 
 
+class Shares(unittest.TestCase):
+    """Two processes sized for the whole node each would hold twice what it may."""
+
+    limits = Limits(384, 41, 80.0, 24.0, 0.1)
+
+    def test_alone_it_has_all_that_the_limits_leave(self):
+        self.assertEqual(share(self.limits, []), Room(171, 172))
+
+    def test_beside_others_it_takes_what_they_leave_and_all_stay_within_the_limits(self):
+        for held in (Room(0, 0), Room(40, 60), Room(100, 100)):
+            room = share(self.limits, [held])
+            with self.subTest(held=held):
+                self.assertLessEqual(sum(held) + sum(room) + 2 * 41, 384)
+                self.assertLessEqual((held.sessions + room.sessions) * 0.1 + 2 * 24.0, 80.0)
+
+    def test_beside_a_full_one_it_has_its_least(self):
+        self.assertEqual(share(self.limits, [Room(171, 172)]), Room(LEAST, LEAST))
+
+    def test_a_node_smaller_than_the_least_has_no_more_than_it_has_alone(self):
+        small = Limits(64, 41, 32.0, 24.0, 0.1)
+        self.assertEqual(share(small, []), Room(11, 12))
+        self.assertEqual(share(small, [Room(11, 12)]), Room(11, 12))
+
+
 class Learned(unittest.TestCase):
     """A brain that took up what another learned decides as that one would."""
 
