Let a job with little time to spare use fewer of the places to wait

Change: waiting places shrink with the job's slack (aim, stretch, hint) against a usual one's of its class.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -141,7 +141,9 @@
         waiting = next((a for a in worker.own.values() if not a.started), None)
         if waiting is not None and self.now - waiting.sent > WAIT_SEEN * waiting.request.spec.aim_us:
             free = min(free, 0.0)  # own jobs wait: whatever the report says, nothing is free
-        places = free + worker.waiting * (LOW + (1 - LOW) * request.rank / self.top)
+        usual = request.spec.aim_us + max(0.0, request.spec.aim_stretch - 1) * self.means[request.index][0]
+        afford = min(1.0, self._slack(request) / usual)  # a short job that waits as a usual one does is late
+        places = free + worker.waiting * (LOW + (1 - LOW) * request.rank / self.top) * afford
         if worker.memory_base - worker.memory_held < request.memory:
             free, places = 0.0, min(places, worker.waiting)
         return free * (free >= request.slots), places * (places >= request.slots)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -184,6 +184,19 @@
     assert not sends(d.arrive(0))
 
 
+def test_a_job_with_little_time_to_spare_does_not_wait_where_a_usual_one_may():
+    """A job of 50 ms behind one of a second came late, and the slot it then took served nobody."""
+    late = api.JobClass("l", 1.0, 100_000, 5_000_000, Effect.SAFE, aim_stretch=2.0)
+    d = Driver(late, workers=1, **QUEUED)
+    d.feed(api.ProbeEnded(1, Outcome.OK, (2.0, 100.0, 0.0)))
+    d.brain.means[0] = [1_000_000.0, 0.0, 50]
+    d.brain.workers[1].waiting = 1.0
+    d.arrive(0, hint_us=1_000_000)
+    d.arrive(0, hint_us=1_000_000)
+    assert kinds(d.arrive(0, hint_us=50_000)) == ["Refuse"]
+    assert sends(d.arrive(0, hint_us=1_000_000))
+
+
 def test_places_to_wait_fall_when_jobs_miss_their_own_wanted_time():
     """Against the class's mean, which late jobs raise, a fleet that was late throughout looked well."""
     late = api.JobClass("l", 1.0, 200_000, 5_000_000, Effect.SAFE, aim_stretch=2.0)
