Let the process that replaces a living one ask discovery at once

Change: a brain that took up another's memory is its heir and asks at once; the memory is taken up before the first list. The test fails without it (delay over 0 at 48 instances).

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -45,6 +45,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, Random(seed)
         self.now = self.token = self.list_failures = 0
+        self.heir = False  # in place of a process of this node that lives, not started with all the others
         self.actions: list[api.Action] = []
         self.workers: dict[int, Worker] = {}
         self.pools = Pools(settings.zone)  # listed workers in random order
@@ -535,5 +536,5 @@
                 self.pools.leave(worker)
         self.fresh = [worker for worker in self.fresh if worker is self.workers[worker.id]]
         if event.kind == ListKind.CACHED and self.settings.on_request_discovery:
-            self._ask_list(1.0)
+            self._ask_list(0.0 if self.heir else 1.0)
         self._pump()
--- a/cedarmill/decisions/memory.py
+++ b/cedarmill/decisions/memory.py
@@ -79,6 +79,7 @@
     brain.slots = {kind: slots for kind, slots in memory.slots.items() if kind in named}
     brain.busy, brain.zones = list(memory.busy), list(memory.zones)
     brain.errors, brain.idle, brain.run, brain.pays = memory.errors, memory.idle, memory.run, memory.pays
+    brain.heir = True
     return True
 
 
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -118,9 +118,10 @@
             say("door", host=mgmt.host, port=self.door.port)
         self._listen_for_checkers()
         self.hands.start()
-        self.director.first(self.config.known)
         if self.inherited is not None:  # a second process can be started beside this one
-            self.keeper.start()
+            self.keeper.start()  # before the list: an heir asks discovery at once
+        self.director.first(self.config.known)
+        if self.inherited is not None:
             self.beside.start()
         self.deadlines.add(self.turn.now() + self.options.ledger_every_us, self._account_again)
         self.loop.call_soon(self._started)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from helpers import Driver, entry, sends
+from helpers import Driver, entry, sends, settings
 
 from cedarmill.decisions import interface as api
+from cedarmill.decisions.brain import Brain
 from cedarmill.decisions.memory import out, recall, recall_worker, remember
 from cedarmill.ops import document
 from cedarmill.ops.share import LEAST, Limits, Room, share
@@ -142,6 +143,17 @@
         self.assertEqual(before, after)
         self.assertEqual(sum(map(len, after.values())), 1)
 
+    def test_an_heir_asks_for_the_list_at_once(self):
+        """What discovery tells binds it 2 s after its yes; the span of a large fleet is longer."""
+        memory = remember(self.old().brain, NAMES, 1_000_000_000)
+        for heir in (False, True):
+            brain = Brain(settings(instances=48, on_request_discovery=True), 1)
+            if heir:
+                recall(brain, memory, 1_000_000_000)
+            news = api.WorkerList(api.ListKind.CACHED, [entry(1)])
+            (timer,) = brain.handle(1_000_000_000, news)
+            self.assertEqual(timer.delay_us == 0, heir)
+
     def test_other_settings_take_up_nothing(self):
         memory = remember(self.old().brain, NAMES, 1_000_000_000)
         memory.means.pop()
