Lock the kept marks between read and write, so that two doors lose none

Cause, found by the hard case of two processes that both mark: each reads the document, adds its mark and renames its own over it; of two at once the later took the earlier away after its yes (test: 50 marks from two sides, some of one side's gone).

Change: KeptFile.alone holds a lock file from the read to the write; the lock goes with a killed process.

--- a/cedarmill/net/hands.py
+++ b/cedarmill/net/hands.py
@@ -66,22 +66,25 @@
         return (200, b"ready\n") if self.clients.ready() else (503, b"not ready\n")
 
     def _mark(self, call: Call) -> tuple[int, bytes]:
-        name, out = call.executor, call.act == Act.EXCLUDE
-        self._take_up()  # the newest word of the other process comes first
-        if not (self.director.knows(name) or name in self.exclusions.since):
-            return 404, b"no executor of that id\n"
-        done = b"excluded\n" if out else b"included\n"
-        since, version, unix = dict(self.exclusions.since), self.exclusions.version, unix_us()
-        if not (self.exclusions.exclude(name, unix) if out else self.exclusions.include(name)):
-            return 200, done
+        before = dict(self.exclusions.since), self.exclusions.version
         try:
-            self.kept.write(self.exclusions.encode(unix))
+            with self.kept.alone():  # the node's other process may mark at the same time
+                return self._mark_alone(call.executor, call.act == Act.EXCLUDE)
         except OSError as error:  # nothing half done: the mark is taken back
-            self.exclusions.since, self.exclusions.version = since, version
+            self.exclusions.since, self.exclusions.version = before
             say("exclusions-unkept", reason=error)
             return 503, b"the mark could not be kept\n"
-        say("excluded" if out else "included", executor=name)
-        self._tell()
+
+    def _mark_alone(self, name: str, out: bool) -> tuple[int, bytes]:
+        """Make the mark on the newest word of both processes; raises OSError where it cannot be kept."""
+        self._take_up()
+        if not (self.director.knows(name) or name in self.exclusions.since):
+            return 404, b"no executor of that id\n"
+        now, done = unix_us(), b"excluded\n" if out else b"included\n"
+        if self.exclusions.exclude(name, now) if out else self.exclusions.include(name):
+            self.kept.write(self.exclusions.encode(now))
+            say("excluded" if out else "included", executor=name)
+            self._tell()
         return 200, done
 
     def _evacuate(self, call: Call) -> tuple[int, bytes]:
--- a/cedarmill/net/kept.py
+++ b/cedarmill/net/kept.py
@@ -6,7 +6,9 @@
 
 import contextlib
 import errno
+import fcntl
 import os
+from collections.abc import Iterator
 
 
 def kept_path(node: str, kind: str) -> str:
@@ -36,9 +38,22 @@
         self._seen = seen
         return text
 
+    @contextlib.contextmanager
+    def alone(self) -> Iterator[None]:
+        """Between a read and the write that follows from it, no other process changes it; raises OSError.
+
+        Waits for the other process, which holds it for the time of one small write; a killed one lets go.
+        """
+        file = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX)
+            yield
+        finally:
+            os.close(file)
+
     def write(self, text: bytes) -> None:
         """Replace the document whole; raises OSError, and the old document then stays."""
-        temporary = f"{self.path}.{os.getpid()}.tmp"
+        temporary = f"{self.path}.{os.getpid()}-{id(self)}.tmp"
         try:
             with open(temporary, "wb") as file:
                 file.write(text)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -128,6 +128,44 @@
             self.assertEqual(kept.looks - before, 20)
 
 
+class BothMark(unittest.TestCase):
+    """Two processes of one node, each with hands of its own on one kept file."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = f"{folder.name}/kept.json"
+        self.old, self.new = self.hands(), self.hands()
+
+    def hands(self) -> Hands:
+        hands = Hands(Ticking(), object(), Listed(), "n0", lambda: False)
+        hands.kept = KeptFile(self.path)
+        return hands
+
+    def test_marks_made_at_the_same_time_are_both_kept(self):
+        """Read and written without a lock, the later rename took the earlier mark away, after its yes."""
+        names = {hands: [f"s-{n}-{which}" for n in range(25)]
+                 for which, hands in (("old", self.old), ("new", self.new))}  # fmt: skip
+        threads = [threading.Thread(target=self.mark, args=pair) for pair in names.items()]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        last = self.hands()
+        last.start()
+        self.assertEqual(set(last.exclusions.since), {name for of in names.values() for name in of})
+
+    @staticmethod
+    def mark(hands: Hands, names: list[str]) -> None:
+        for name in names:
+            hands.obey(door.Call(door.Act.EXCLUDE, name))
+
+    def test_a_mark_that_cannot_be_kept_is_not_made(self):
+        self.old.kept = KeptFile("/proc/none/kept.json")
+        self.assertEqual(self.old.obey(door.Call(door.Act.EXCLUDE, "s-1"))[0], 503)
+        self.assertEqual(self.old.exclusions.since, {})
+
+
 class DoorCase(NodeCase):
     backends = 2
 
