--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -143,7 +143,7 @@
         if waiting is not None and self.now - waiting.sent > WAIT_SEEN * waiting.request.spec.aim_us:
             free = min(free, 0.0)  # own jobs wait: whatever the report says, nothing is free
         usual = request.spec.aim_us + max(0.0, request.spec.aim_stretch - 1) * self.means[request.index][0]
-        afford = min(1.0, self._slack(request) / usual)  # a short job that waits as a usual one does is late
+        afford = 1 - fade * max(0.0, 1 - self._slack(request) / usual)  # else a short job that waits is late
         places = free + worker.waiting * (LOW + (1 - LOW) * request.rank / self.top) * afford
         if worker.memory_base - worker.memory_held < request.memory:
             free, places = 0.0, min(places, worker.waiting)
