Read ORCA load reports in their binary form

Tests: bytes by hand from the numbers, the old whole rate, unknown fields, padding, bad ones, and any 200 bytes are a report or refused in one line.

--- a/cedarmill/health/wire/state.py
+++ b/cedarmill/health/wire/state.py
@@ -4,8 +4,8 @@
 HTTP check, `STATE [RISE/FALL]; name=BACKEND/SERVER; node=NODE; weight=W/TOTAL; scur=CUR/TOTAL; qcur=N`,
 where STATE is UP, DOWN, NOLB or MAINT and `a/b` after it counts checks of a change under way. The xDS
 ORCA load report (`xds.data.orca.v3.OrcaLoadReport`), sent by a backend in the header
-`endpoint-load-metrics` as `TEXT name=value, ...` or `JSON {...}`; the binary form comes in
-`endpoint-load-metrics-bin` and is not read here.
+`endpoint-load-metrics` as `TEXT name=value, ...`, `JSON {...}` or `BIN base64`; the binary form, which also
+comes in `endpoint-load-metrics-bin`, is `orca.py`'s, loaded when one comes.
 """
 
 import json
@@ -105,7 +105,7 @@
 
 
 def parse_load_report(value: str) -> LoadReport:
-    """Read `endpoint-load-metrics`, TEXT or JSON; raises StateError for another form or a bad value."""
+    """Read `endpoint-load-metrics`, TEXT, JSON or BIN; raises StateError for another form or a bad value."""
     if len(value) > MAX_HEADER:
         raise StateError("the header is over 4 KiB")
     form, _, body = value.strip().partition(" ")
@@ -113,8 +113,12 @@
         pairs = _text_pairs(body)
     elif form.upper() == "JSON":
         pairs = _json_pairs(body)
+    elif form.upper() == "BIN":
+        from cedarmill.health.wire.orca import parse_binary  # protobuf: only where a backend sends it
+
+        return parse_binary(body.strip())
     else:
-        raise StateError(f"form {form[:10]!r} is neither TEXT nor JSON")
+        raise StateError(f"form {form[:10]!r} is none of TEXT, JSON and BIN")
     found: dict = {name: {} for name in _MAPS}
     for key, number in pairs:
         if key in _TOP:
--- a/tests/test_header_health.py
+++ b/tests/test_header_health.py
@@ -1,7 +1,13 @@
 """Header-borne health: HAProxy's send-state header and ORCA load reports, as their definitions give them."""
 
+import base64
+import struct
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cedarmill.health.wire.orca import parse_binary, render_binary
 from cedarmill.health.wire.state import (
     CheckerView,
     LoadReport,
@@ -50,3 +56,48 @@
                       'JSON {"eps": true}', "JSON {", "TEXT eps=inf"):  # fmt: skip
             with self.subTest(value), self.assertRaises(StateError):
                 parse_load_report(value)
+
+class OrcaBinary(unittest.TestCase):
+    """The protobuf form, against bytes written out by hand from the definition's field numbers."""
+
+    @staticmethod
+    def encoded(raw: bytes) -> str:
+        return base64.b64encode(raw).decode()
+
+    def test_fields_by_their_numbers(self):
+        def double(number: int, value: float) -> bytes:
+            return bytes([number << 3 | 1]) + struct.pack("<d", value)
+
+        entry = b"\x0a\x05slots" + double(2, 0.5)
+        raw = double(1, 0.25) + double(2, 0.75) + double(6, 10.0) + double(7, 2.0) + double(9, 0.5)
+        raw += bytes([5 << 3 | 2, len(entry)]) + entry + bytes([8 << 3 | 2, len(entry)]) + entry
+        slots = {"slots": 0.5}
+        report = LoadReport(0.25, 0.75, 0.5, 10.0, 2.0, slots, slots)
+        self.assertEqual(parse_binary(self.encoded(raw)), report)
+
+    def test_the_old_whole_rate_counts_where_no_other_is_told(self):
+        self.assertEqual(parse_binary(self.encoded(b"\x18\x07")).rps_fractional, 7.0)
+
+    def test_numbers_not_known_are_passed_over_and_padding_may_be_left_out(self):
+        raw = b"\x80\x01\x05" + b"\x11" + struct.pack("<d", 0.5)  # field 16, then mem_utilization
+        self.assertEqual(parse_binary(self.encoded(raw).rstrip("=")), LoadReport(mem_utilization=0.5))
+
+    def test_binary_text_and_json_say_the_same_wherever_they_come(self):
+        text = parse_load_report("TEXT cpu_utilization=0.3, eps=1, named_metrics.queue=4")
+        self.assertEqual(parse_load_report("BIN " + render_binary(text)), text)
+
+    def test_bad_ones_are_refused(self):
+        minus = self.encoded(b"\x09" + struct.pack("<d", -1.0))
+        nan = self.encoded(b"\x09" + struct.pack("<d", float("nan")))
+        for value in ("!", "AAAA", self.encoded(b"\x09\x00"), minus, nan, "A" * 5000):
+            with self.subTest(value[:20]), self.assertRaises(StateError) as raised:
+                parse_binary(value)
+            self.assertNotIn("\n", str(raised.exception))
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_a_report_or_refused(self, raw):
+        try:
+            report = parse_binary(self.encoded(raw))
+        except StateError:
+            return
+        self.assertEqual(parse_binary(render_binary(report)), report)
