--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -77,7 +77,8 @@
         """Close at once, with a reset: the thread that reads does it."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.broken = True
-        self.sock.shutdown(socket.SHUT_RD)
+        with contextlib.suppress(OSError):  # the node closed meanwhile, and the thread that reads was first
+            self.sock.shutdown(socket.SHUT_RD)
 
 
 class Asked:
@@ -264,6 +265,11 @@
         """The port in the log's last line, text or JSON."""
         return int(re.search(r"serves on \S+ port (\d+)", self.log[-1])[1])
 
+    def told_door(self) -> int:
+        """The port of the operators' door, as the log tells it."""
+        line = next(line for line in self.log if "operators' door on" in line)
+        return int(re.search(r"port (\d+)", line)[1])
+
     def descriptors(self) -> int:
         """How many the node holds."""
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -3,7 +3,6 @@
 import contextlib
 import os
 import queue
-import re
 import resource
 import socket
 import tempfile
@@ -174,8 +173,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        line = next(line for line in self.log if "operators' door on" in line)
-        self.door = int(re.search(r"port (\d+)", line)[1])
+        self.door = self.told_door()
 
 
 class Door(DoorCase):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,7 +2,6 @@
 
 import json
 import os
-import re
 import socket
 from pathlib import Path
 
@@ -85,10 +84,6 @@
             self.old.kill()
         self.old.communicate()
 
-    def told_door(self) -> int:
-        line = next(line for line in self.log if "operators' door on" in line)
-        return int(re.search(r"port (\d+)", line)[1])
-
     def told(self, process, words: str) -> None:
         """Read that process's log up to a line with those words."""
         while words not in (line := process.stderr.readline()):
