Leave a file that another process has only just made; drop a call that found no list

The test fails without the change. Keeper laid its memory before the first list was told, which found nobody: the list's own call does it. Left as they are: the door's and the checkers' data_received share first lines only.

--- a/cedarmill/net/beside.py
+++ b/cedarmill/net/beside.py
@@ -114,7 +114,7 @@
             return
         self.others.pop(name, None)
         other.kept.close()
-        if unix - other.at > GONE_US:
+        if other.at and unix - other.at > GONE_US:  # 0: only just made, and not written yet
             other.kept.remove()
 
     def _write(self, now: int, unix: int) -> None:
--- a/cedarmill/net/memory.py
+++ b/cedarmill/net/memory.py
@@ -54,7 +54,6 @@
             raise ValueError("of other settings: classes or tenants differ")
         self.pending, self.pending_until = memory, now + LATE_US
         say("recalled", workers=len(memory.workers), age=age / 1e6)
-        self._lay(written)
         self.director.heard = lambda: self._lay(written)
 
     def _lay(self, written: int) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -250,6 +250,15 @@
 
         self.wait_for(served)
 
+    def test_a_file_that_another_process_has_only_just_made_is_left(self):
+        """Taken for a dead process's and removed, its owner would write on unseen."""
+        made = Path(f"{self.tmpdir.name}/cedarmill-n0-out-1.json")
+        made.touch()
+        told = self.kept(f"out-{self.process.pid}")
+        before = told.texts()
+        self.wait_for(lambda: told.texts() != before)  # written after a look at all files
+        self.assertTrue(made.exists())
+
     def test_a_torn_document_is_said_and_not_taken_up(self):
         self.learn(free=5)
         self.process.kill()  # or it would write the document anew
