Play many real processes with faults between them, and judge them by laws

Need: nobody counts over all nodes' marks. lab/fleet starts nodes, executors, directors and load, puts directed link proxies, process faults and operators on a timeline, and judges histories of the actors.

--- a/cedarmill/cli/lab.py
+++ b/cedarmill/cli/lab.py
@@ -1,4 +1,4 @@
-"""`cedarmill lab run|list|report`."""
+"""`cedarmill lab run|list|report|fleet`."""
 
 import sys
 from pathlib import Path
@@ -94,6 +94,73 @@
     sys.exit(_tell(stories, out))
 
 
+@lab.command(epilog="Exit codes: 0 all laws were kept; 1 one was broken; 2 bad input or use.")
+@click.argument("scenario", required=False)
+@click.option("--list", "listed", is_flag=True, help="Name the scenarios that the package ships.")
+@click.option("--nodes", type=click.IntRange(1, 200), help="Instead of the scenario's number.")
+@click.option("--keepers", type=click.Choice(["0", "1", "3", "5"]), help="Instead of the scenario's number.")
+@click.option("--seed", type=click.IntRange(0), default=[1], multiple=True, show_default=True,
+              help="Repeat it for several runs.")  # fmt: skip
+@click.option("-o", "--out", type=click.Path(file_okay=False, path_type=Path), default=Path("found"),
+              show_default=True, help="The folder for histories, verdicts, logs and reports.")  # fmt: skip
+def fleet(scenario: str | None, listed: bool, nodes: int | None, keepers: str | None, seed: tuple[int, ...],
+          out: Path) -> None:  # fmt: skip
+    """Play a scenario of many real processes with faults between them.
+
+    \b
+    Examples:
+      cedarmill lab fleet --list
+      cedarmill lab fleet doors
+      cedarmill lab fleet drains --nodes 12 --keepers 3 --seed 1 --seed 2 --out found/drains
+    """
+    import dataclasses
+
+    from cedarmill.conf.document import ConfError
+    from cedarmill.lab.fleet import report as reports
+    from cedarmill.lab.fleet.run import play
+    from cedarmill.lab.fleet.scenario import read, shipped
+
+    if listed:
+        for name in shipped():
+            click.echo(f"{name}: {read(name).about}")
+        return
+    if scenario is None:
+        raise ConfError("name a scenario, or ask with --list")
+    read_in = read(scenario)
+    changes = {
+        name: int(value) for name, value in (("nodes", nodes), ("keepers", keepers)) if value is not None
+    }
+    read_in = dataclasses.replace(read_in, fleet=dataclasses.replace(read_in.fleet, **changes))
+    verdicts = []
+    for number in seed:
+        folder = out / f"{read_in.name}-{number}"
+        with click.progressbar(length=1000, label=f"{read_in.name} seed {number}", file=sys.stderr) as bar:
+            record = play(
+                read_in, number, folder, lambda done, bar=bar: bar.update(int(done * 1000) - bar.pos)
+            )
+        verdicts.append(reports.write(record, folder))
+    sys.exit(_tell_fleet(verdicts, out))
+
+
+def _tell_fleet(verdicts: list, out: Path) -> int:
+    """Print the table and the breaches; 1 where a law was broken."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from cedarmill.lab.fleet.report import table
+
+    rows = Table("", *(f"{one.scenario}\nseed {one.seed}" for one in verdicts))
+    for name, cells in table(verdicts):
+        rows.add_row(name, *cells)
+    Console().print(rows)
+    for one in verdicts:
+        for law, texts in one.laws.items():
+            for text in texts[:3]:
+                click.echo(f"seed {one.seed}: {law}: {text}")
+    click.echo(f"reports: {out}/*/report.html")
+    return int(not all(one.kept for one in verdicts))
+
+
 def _tell(stories: list, path: Path) -> int:
     """Print the table, write the report; 1 where a rule was broken."""
     from rich.console import Console
--- /dev/null
+++ b/cedarmill/lab/fleet/faults.py
@@ -0,0 +1,200 @@
+"""The timeline of a run: faults on processes, links, disks and executors, and operators' acts."""
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+from typing import TYPE_CHECKING
+
+import numpy
+
+from cedarmill.conf.document import microseconds, share
+from cedarmill.lab.fleet.links import LinkFault
+from cedarmill.lab.fleet.scenario import Happening
+
+if TYPE_CHECKING:
+    from cedarmill.lab.fleet.run import FleetRun
+
+CHANCE_S = (0.3, 2.5)  # how long a fault by chance lasts, between these
+SLOW_DUTY = "30%"  # of a process slowed by chance
+PROCESS_FAULTS = ("kill", "pause", "slow", "term")
+LINK_FAULTS = ("cut", "delay", "drop", "reset", "half-open")
+
+
+class Faults:
+    """Lets what the timeline says happen to a run."""
+
+    def __init__(self, run: "FleetRun") -> None:
+        self.run = run
+        self.dice = numpy.random.Generator(numpy.random.PCG64(run.seeds[4]))
+        self._timers: list[asyncio.TimerHandle] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._paused: set[str] = set()
+
+    def plan(self, timeline: Iterable[Happening]) -> None:
+        """Enter all of it."""
+        for entry in timeline:
+            for at, one in self._drawn(entry):
+                self._after(at, getattr(self, f"_{one.what}"), one)
+
+    def _after(self, at: int, call, *words) -> None:
+        wait = max(0.0, (at - self.run.clock()) / 1e6)
+        self._timers.append(asyncio.get_running_loop().call_later(wait, call, *words))
+
+    def _soon(self, coroutine: Coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _drawn(self, entry: Happening) -> list[tuple[int, Happening]]:
+        """An entry by chance becomes those that the seed draws."""
+        if entry.what != "chance":
+            return [(entry.at, entry)]
+        found, at = [], float(entry.at)
+        kinds, places = entry.words["faults"].split(), entry.words["on"].split()
+        while True:
+            at += float(self.dice.exponential(microseconds(entry.words["every"])))
+            if at >= microseconds(entry.words["until"]):
+                return found
+            lasts = int(self.dice.uniform(*CHANCE_S) * 1e6)
+            found.append((int(at), self._by_chance(str(self.dice.choice(kinds)), places, int(at), lasts)))
+
+    def _by_chance(self, kind: str, places: list[str], at: int, lasts: int) -> Happening:
+        names = [name for name in self._names() if name.partition("-")[0] in places]
+        name = str(self.dice.choice(names))
+        if kind in PROCESS_FAULTS:
+            words = {"name": name, "fault": kind, "size": SLOW_DUTY}
+            return Happening("process", at, lasts, words)
+        if kind in LINK_FAULTS:
+            other = str(self.dice.choice([one for one in names if one != name] or ["*"]))
+            both = self.dice.random() < 0.5
+            words = {"from": name, "to": other if both else "*", "fault": kind, "share": "30%",
+                     "delay": "400ms"}  # fmt: skip
+            return Happening("link", at, lasts, words)
+        return Happening("disk", at, lasts, {"name": name, "fault": kind})
+
+    def _names(self) -> list[str]:
+        """All that may meet a fault, in an order that does not hang on when each started."""
+        return sorted({*self.run.processes, *self.run.executors})
+
+    def _matching(self, pattern: str) -> list[str]:
+        """A name, several with blanks between them, or a kind with `-*`; `leader` is who leads now."""
+        found = []
+        for word in pattern.split():
+            if word == "leader":
+                found += [self.run.leader()] if self.run.leader() else []
+            elif word.endswith("*"):
+                found += [name for name in self._names() if name.startswith(word[:-1])]
+            else:
+                found.append(word)
+        return found
+
+    # Processes.
+
+    def _process(self, entry: Happening) -> None:
+        for name in self._matching(entry.words["name"]):
+            self._one_process(name, entry)
+
+    def _one_process(self, name: str, entry: Happening) -> None:
+        process, fault = self.run.processes.get(name), entry.words["fault"]
+        if process is None:
+            return
+        self.run.history.tell("lab", fault, name, number=entry.lasts / 1e6)
+        if fault == "start":
+            self._soon(self.run.start_again(name, entry.words.get("disk", "own")))
+        elif fault in ("kill", "term"):
+            (process.kill if fault == "kill" else process.term)()
+            if entry.lasts:
+                again = self.run.start_again, name, entry.words.get("disk", "own")
+                self._after(entry.at + entry.lasts, lambda: self._soon(again[0](*again[1:])))
+        elif fault == "pause":
+            process.pause()
+            self._after(entry.at + entry.lasts, process.go_on)
+        elif fault == "slow":
+            process.slow(share(entry.words["size"]))
+            self._after(entry.at + entry.lasts, process.full_speed)
+
+    # Links.
+
+    def _link(self, entry: Happening) -> None:
+        words = entry.words
+        sizes = {
+            "drop": lambda: share(words["share"]),
+            "delay": lambda: microseconds(words["delay"]) / 1e6,
+            "trickle": lambda: float(words["bytes-per-s"]),
+        }
+        size = sizes.get(words["fault"], lambda: 0.0)()
+        jitter = microseconds(words.get("jitter", "0s")) / 1e6
+        fault = LinkFault(words["fault"], size, jitter)
+        for source in self._matching(words["from"]) if words["from"] != "*" else ["*"]:
+            for target in self._matching(words["to"]) if words["to"] != "*" else ["*"]:
+                self._cut(source, target, fault, entry)
+
+    def _cut(self, source: str, target: str, fault: LinkFault, entry: Happening) -> None:
+        told = f"{source}>{target}"
+        self.run.history.tell("lab", f"link {fault.kind}", told, number=entry.lasts / 1e6)
+        for direction in self.run.links.directions(source, target):
+            direction.begin(fault)
+            if entry.lasts:
+                self._after(entry.at + entry.lasts, direction.lift, fault.kind)
+
+    def _partition(self, entry: Happening) -> None:
+        """Among the keepers, with the members on either side."""
+        keepers = sorted(name for name in self.run.processes if name.startswith("keeper"))
+        leader = self.run.leader() or keepers[0]
+        others = [name for name in keepers if name != leader]
+        kind, cut = entry.words["kind"], LinkFault("cut")
+        few = others[: (len(keepers) - 1) // 2]
+        if kind == "minority":  # fewer than half, the leader not among them
+            pairs = [(a, b) for a in few for b in keepers if b not in few]
+            pairs += [(b, a) for a, b in pairs]
+        elif kind == "majority":  # the leader with too few
+            few = [leader, *few[1:]]
+            pairs = [(a, b) for a in few for b in keepers if b not in few]
+            pairs += [(b, a) for a, b in pairs]
+        elif kind == "one-way":  # the leader hears nobody, and all hear it
+            pairs = [(other, leader) for other in others]
+        elif kind == "bridge":  # two sides that reach each other through one keeper only
+            left, right = others[0], others[1:] or [leader]
+            pairs = [(left, one) for one in (right if len(others) > 1 else [leader])]
+            pairs += [(b, a) for a, b in pairs]
+        else:  # ring: each hears its neighbours only
+            count = len(keepers)
+            pairs = [(keepers[a], keepers[b]) for a in range(count) for b in range(count)
+                     if a != b and (a - b) % count not in (1, count - 1)]  # fmt: skip
+        for source, target in pairs:
+            self._cut(source, target, cut, entry)
+
+    # Disks, executors, operators.
+
+    def _disk(self, entry: Happening) -> None:
+        for name in self._matching(entry.words["name"]):
+            self.run.history.tell("lab", f"disk {entry.words['fault']}", name)
+            self.run.disk_fault(name, entry.words["fault"], entry.lasts)
+
+    def _executor(self, entry: Happening) -> None:
+        for name in self._matching(entry.words["name"]):
+            box, fault = self.run.executors[name], entry.words["fault"]
+            if fault == "kill":
+                box.down(planned=False)
+                if entry.lasts:
+                    self._after(entry.at + entry.lasts, lambda box=box: self._soon(box.up()))
+                continue
+            self.run.history.tell(name, "lost" if fault == "hang" else fault, name, note="fault")
+            box.fault(fault, share(entry.words.get("size", "100%")))
+            if entry.lasts:
+                self._after(entry.at + entry.lasts, self._well, box, fault)
+
+    def _well(self, box, fault: str) -> None:
+        box.lift(fault)
+        self.run.history.tell(box.name, "found", box.name, note="fault")
+
+    def _operator(self, entry: Happening) -> None:
+        self.run.operators.act(entry)
+
+    def end(self) -> None:
+        """Nothing more happens."""
+        for timer in self._timers:
+            timer.cancel()
+        for process in self.run.processes.values():
+            process.full_speed()
+        for task in self._tasks:
+            task.cancel()
--- /dev/null
+++ b/cedarmill/lab/fleet/laws.py
@@ -0,0 +1,194 @@
+"""The laws of a fleet as predicates over what its actors did: each names every breach that it finds.
+
+They read the histories of executors, operators, nodes and stewards, and the visits that executors saw;
+nothing of what a keeper believes. `docs/design/drains.md` says from where each comes.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from cedarmill.lab.fleet.history import Event
+from cedarmill.lab.fleet.scenario import Limit
+from cedarmill.lab.judge import no_forbidden_repeat, one_final_answer, true_results
+from cedarmill.lab.story import Story, Visit
+
+KNOWN_US = 4_000_000  # after which the fleet has to know of a loss that nobody planned
+
+
+@dataclass(slots=True)
+class Record:
+    """All that a run left."""
+
+    events: list[Event]
+    visits: list[Visit]
+    limits: tuple[Limit, ...] = ()
+    places: dict[str, dict[str, str]] = field(default_factory=dict)  # of a target: kind, zone, type, group
+    slots: dict[str, int] = field(default_factory=dict)
+    story: Story | None = None
+
+
+class Out:
+    """Who is out over time: by plan, from the word that lets it go till it is back; by fault, while down."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.planned: dict[str, int] = {}
+        self.lost: dict[str, int] = {}
+
+    def apply(self, event: Event) -> None:
+        """One event of the history."""
+        if event.what == "taken":
+            self.planned.setdefault(event.target, event.at)
+        elif event.what == "back":
+            self.planned.pop(event.target, None)
+        elif event.what in ("down", "lost") and event.note == "fault":
+            self.lost.setdefault(event.target, event.at)
+        elif event.what in ("up", "found"):
+            self.lost.pop(event.target, None)
+
+    def known_out(self, now: int) -> set[str]:
+        """By plan, and by losses that the fleet has had the time to see."""
+        old = {name for name, since in self.lost.items() if now - since > KNOWN_US}
+        return set(self.planned) | old
+
+
+def _when(event: Event) -> str:
+    return f"{event.at / 1e6:.3f} s"
+
+
+def scope(record: Record, limit: Limit, name: str) -> str | None:
+    """Which of a limit's scopes a target is counted in; None: it is not."""
+    place = record.places.get(name)
+    if place is None or place["kind"] != limit.kind:
+        return None
+    return "" if limit.per == "fleet" else place.get(limit.per, "")
+
+
+def allowed(record: Record, limit: Limit, at: str) -> int:
+    """How many of a scope may be out, rounded to the safe side."""
+    members = [name for name in record.places if scope(record, limit, name) == at]
+    caps = [len(members)]
+    if limit.most >= 0:
+        caps.append(limit.most)
+    if limit.share >= 0:
+        caps.append(len(members) * limit.share // 1000)
+    return min(caps)
+
+
+def _over(record: Record, out: set[str], name: str) -> Iterator[str]:
+    """The limits that stand broken with these out, among those that count this target."""
+    for limit in record.limits:
+        at = scope(record, limit, name)
+        if at is None:
+            continue
+        within = sorted(one for one in out if scope(record, limit, one) == at)
+        if len(within) > (most := allowed(record, limit, at)):
+            names = ", ".join(within)
+            yield f"{limit.kind} out per {limit.per} {at}: {len(within)} where {most} may be ({names})"
+        if limit.capacity_left >= 0:
+            members = [one for one in record.places if scope(record, limit, one) == at]
+            whole = sum(record.slots.get(one, 1) for one in members)
+            left = whole - sum(record.slots.get(one, 1) for one in within)
+            if left * 1000 < whole * limit.capacity_left:
+                yield f"{left} of {whole} slots of {limit.kind} left per {limit.per} {at}"
+
+
+def never_too_many_out(record: Record) -> Iterator[str]:
+    """At no moment does taking one out by plan bring what is out over a limit."""
+    out = Out(record)
+    for event in record.events:
+        before = event.target in out.planned
+        out.apply(event)
+        if event.what == "taken" and not before:
+            for text in _over(record, out.known_out(event.at), event.target):
+                yield f"{_when(event)}, {event.who} took {event.target}: {text}"
+
+
+def no_work_after_drained(record: Record) -> Iterator[str]:
+    """Once it was said that an executor is drained, nothing reaches it till it is back."""
+    spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
+    since: dict[str, int] = {}
+    for event in record.events:
+        if event.what == "drained":
+            since.setdefault(event.target, event.at)
+        elif event.what == "returning" and event.target in since:
+            spans[event.target].append((since.pop(event.target), event.at))
+    for name, at in since.items():
+        spans[name].append((at, 1 << 62))
+    for visit in record.visits:
+        for start, end in spans.get(visit.box, ()):
+            if start < visit.at < end:
+                yield f"{visit.box} got {visit.id} {(visit.at - start) / 1e6:.3f} s after it was drained"
+
+
+def no_job_lost_by_plan(record: Record) -> Iterator[str]:
+    """A target that was drained before it was stopped had nothing left to lose."""
+    for event in record.events:
+        if event.what == "down" and event.note == "planned" and event.number:
+            yield f"{_when(event)}: {event.target} was stopped by plan with {event.number:.0f} jobs"
+
+
+def epochs_only_grow(record: Record) -> Iterator[str]:
+    """What an actor acts on never has an older epoch than what it acted on before, for one target."""
+    seen: dict[tuple[str, str], int] = {}
+    for event in record.events:
+        if not event.epoch or event.what not in ("acts", "taken"):
+            continue
+        key = event.who, event.target
+        if event.epoch < seen.get(key, 0):
+            yield f"{_when(event)}: {event.who} acted on {event.target} by {event.epoch} after {seen[key]}"
+        seen[key] = max(event.epoch, seen.get(key, 0))
+
+
+def nothing_on_a_dead_lease(record: Record) -> Iterator[str]:
+    """An actor that tells how old its lease was when it acted never acted on one that had run out."""
+    for event in record.events:
+        if event.what == "acts" and event.number < 0:
+            late = -event.number
+            yield f"{_when(event)}: {event.who} acted on {event.target} {late:.3f} s after its lease"
+
+
+def permits_accounted_for(record: Record) -> Iterator[str]:
+    """At the end every permit that was used is returned, or named as still out."""
+    open_: dict[str, Event] = {}
+    for event in record.events:
+        if event.what == "taken":
+            open_[event.target] = event
+        elif event.what in ("back", "named"):
+            open_.pop(event.target, None)
+    for target, event in open_.items():
+        yield f"{target}, taken by {event.who} at {_when(event)}, is neither back nor named"
+
+
+def one_answer(record: Record) -> Iterator[str]:
+    """Each call that stayed has one final answer, unless its connection broke; no forbidden repeat."""
+    if record.story is not None:
+        for rule in (one_final_answer, true_results, no_forbidden_repeat):
+            yield from rule(record.story)
+
+
+LAWS: dict[str, Callable[[Record], Iterator[str]]] = {
+    "never too many out": never_too_many_out,
+    "no work after drained": no_work_after_drained,
+    "no job lost by plan": no_job_lost_by_plan,
+    "epochs only grow": epochs_only_grow,
+    "nothing on a dead lease": nothing_on_a_dead_lease,
+    "permits accounted for": permits_accounted_for,
+    "one final answer, no forbidden repeat": one_answer,
+}
+
+
+def verdict(record: Record) -> dict[str, list[str]]:
+    """The breaches of each law, by its name."""
+    return {name: list(law(record)) for name, law in LAWS.items()}
+
+
+def most_out(record: Record) -> tuple[int, int]:
+    """The most that were out at once by plan, and with what faults took out beside."""
+    out, planned, all_ = Out(record), 0, 0
+    for event in record.events:
+        out.apply(event)
+        planned = max(planned, len(out.planned))
+        all_ = max(all_, len(set(out.planned) | set(out.lost)))
+    return planned, all_
--- /dev/null
+++ b/cedarmill/lab/fleet/run.py
@@ -0,0 +1,225 @@
+"""Plays a scenario of many processes: executors, directors and clients here, all else real processes."""
+
+import asyncio
+import gc
+import json
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import numpy
+import uvloop
+
+from cedarmill.lab.director import Director
+from cedarmill.lab.fleet.executors import Executor
+from cedarmill.lab.fleet.faults import Faults
+from cedarmill.lab.fleet.history import History
+from cedarmill.lab.fleet.laws import Record
+from cedarmill.lab.fleet.links import Links
+from cedarmill.lab.fleet.operators import Operators
+from cedarmill.lab.fleet.processes import Process, environment
+from cedarmill.lab.fleet.scenario import FleetScenario
+from cedarmill.lab.load import Load
+from cedarmill.lab.run import platform_settings
+from cedarmill.lab.story import Story
+
+START_S = 30.0  # for a process to start, on a machine that starts thirty at once
+END_S = 25.0  # for a process to end after SIGTERM
+REST_S = 3.0  # after the longest budget, for the last answers
+LOOK_S = 0.05  # between two looks at whether all is done
+KIND = "box"
+
+
+def _work(body: bytes, job_class: str) -> float:
+    """What a job needs, as its client wrote it (us at speed 1)."""
+    return float(body)
+
+
+class FleetRun:
+    """One scenario, one seed."""
+
+    def __init__(self, scenario: FleetScenario, seed: int, folder: Path,
+                 told: Callable[[float], None] = lambda done: None) -> None:  # fmt: skip
+        self.scenario, self.seed, self.folder, self.told = scenario, seed, folder, told
+        self.began = time.monotonic_ns() // 1000
+        seeds = numpy.random.SeedSequence(seed).spawn(6)  # fleet, boxes, clients, links, faults, operators
+        self.seeds = seeds
+        self.history = History(self.clock)
+        self.links = Links(seeds[3])
+        self.executors: dict[str, Executor] = {}
+        self.directors: dict[str, Director] = {}
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}  # clients', by node
+        self.doors: dict[str, int] = {}  # operators', by node
+        self.visits: list = []
+        self.load: Load | None = None
+        self.operators = Operators(self)
+        self.faults = Faults(self)
+
+    def clock(self) -> int:
+        """Microseconds since the run began."""
+        return time.monotonic_ns() // 1000 - self.began
+
+    @property
+    def nodes(self) -> list[str]:
+        return [f"node-{n}" for n in range(self.scenario.fleet.nodes)]
+
+    @property
+    def linked(self) -> set[str]:
+        """The kinds of processes between which links are proxies: those that the timeline names."""
+        kinds = set()
+        for entry in self.scenario.timeline:
+            for word in (entry.words.get("from", ""), entry.words.get("to", "")):
+                kinds.add(word.partition("-")[0])
+            if entry.what == "chance" and {"cut", "delay", "drop", "reset"} & set(
+                entry.words["faults"].split()
+            ):
+                kinds.update(entry.words["on"].split())
+        return kinds
+
+    # Who is there.
+
+    async def open(self) -> None:
+        """Start all; raises ConfError where a process does not start."""
+        self._make_executors()
+        for box in self.executors.values():
+            await box.open()
+        await asyncio.gather(*(self._start_node(name, number) for number, name in enumerate(self.nodes)))
+
+    def _make_executors(self) -> None:
+        fleet, draw = self.scenario.fleet, numpy.random.Generator(numpy.random.PCG64(self.seeds[0]))
+        for number, seed in enumerate(self.seeds[1].spawn(fleet.executors)):
+            speed = float(draw.uniform(fleet.slowest, fleet.fastest))
+            dice = numpy.random.Generator(numpy.random.PCG64(seed))
+            box = Executor(f"box-{number}", f"zone-{number % fleet.zones}", fleet.cores, fleet.slots, speed,
+                           fleet.queue, False, _work, self.clock, self.visits, dice)  # fmt: skip
+            box.history = self.history
+            self.executors[box.name] = box
+
+    async def _director(self, node: str) -> Director:
+        """The list as one node sees it: with its own links to the executors, where links are faulty."""
+        director = self.directors[node] = Director(self.clock)
+        await director.open()
+        for box in self.executors.values():
+            address = box.address
+            if self.linked & {"box", "*"}:
+                address = await self.links.address(node, box.name, box.address)
+            director.enter(box.name, address, box.zone, KIND)
+        return director
+
+    async def _start_node(self, name: str, number: int) -> None:
+        director = await self._director(name)
+        folder = self.folder / name
+        folder.mkdir(parents=True, exist_ok=True)
+        config = folder / "config.json"
+        zone = number % self.scenario.fleet.zones
+        config.write_text(json.dumps({
+            "name": name, "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "discovery": director.address,
+            "seed": f"{self.seed * 1000 + number:x}", "limits": {"sockets": 1024, "memory_mb": 192},
+            "known": director.listing(),
+            "settings": {**platform_settings(self.scenario, False), "zone": zone}}))  # fmt: skip
+        env = environment(LB_CONFIG=str(config), TMPDIR=str(folder))
+        command = [sys.executable, "-m", "cedarmill.cli", "node", *self.node_words(name)]
+        self.processes[name] = Process(name, command, env, self._process_told)
+        await self.start(name)
+
+    def node_words(self, name: str) -> list[str]:
+        """More words for the command that starts this node."""
+        return []
+
+    async def start(self, name: str) -> None:
+        """Start a process, and learn where it serves."""
+        process = self.processes[name]
+        since = len(process.lines)
+        await process.start()
+        if name.startswith("node"):
+            said = await process.said(" serves on ", START_S, since)
+            self.ports[name] = int(said.split()[-1])
+            door = await process.said("operators' door on", START_S, since)
+            self.doors[name] = int(door.split()[-1])
+
+    async def start_again(self, name: str, disk: str) -> None:
+        """Start a process that has ended, with the disk that is asked for."""
+        if self.processes[name].alive:
+            return
+        await self.start(name)
+
+    def disk_fault(self, name: str, fault: str, lasts: int) -> None:
+        """A fault of a process's disk."""
+
+    def leader(self) -> str:
+        """The keeper that leads, where there is one."""
+        return ""
+
+    def _process_told(self, name: str, what: str, note: str) -> None:
+        self.history.tell(name, what, name, note=note)
+        if what == "ended":
+            self.ports.pop(name, None)
+
+    # The run.
+
+    async def play(self) -> Record:
+        """Start all, play the timeline, end all; what it left."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        story = Story(self.scenario.name, "fleet", self.seed, self.scenario.length, self.scenario.rules)
+        try:
+            await self.open()
+            gc.collect()
+            gc.freeze()  # a collection in the midst of a run would show as lag
+            began = self.clock()
+            self.began += began  # what happened before has negative times
+            self.load = Load(self.clock, self.seeds[2], self.scenario.habits, self.scenario.rate,
+                             lambda: list(self.ports.values()), "close")  # fmt: skip
+            self.load.start(self.scenario.length)
+            self.faults.plan(self.scenario.timeline)
+            await self._till_done()
+        finally:
+            await self.close()
+        story.calls, story.visits = self.load.calls, self.visits
+        story.kept_promise = False  # processes are paused here: an answer's lateness is measured, not judged
+        return self._record(story)
+
+    async def _till_done(self) -> None:
+        length = self.scenario.length
+        last = length + int((max(h.budget for h in self.scenario.habits) / 1e6 + REST_S) * 1e6)
+        while self.clock() < last:
+            await asyncio.sleep(LOOK_S)
+            self.told(min(1.0, self.clock() / length))
+            if self.clock() > length and not self.load.open and not self.operators.busy:
+                return
+
+    def _record(self, story: Story) -> Record:
+        places = {box.name: {"kind": "executor", "zone": box.zone, "type": KIND, "group": "0"}
+                  for box in self.executors.values()}  # fmt: skip
+        for number, name in enumerate(self.nodes):
+            places[name] = {"kind": "node", "zone": f"zone-{number % self.scenario.fleet.zones}"}
+        slots = {box.name: box.slots for box in self.executors.values()}
+        events = sorted(self.history.events, key=lambda event: event.at)
+        return Record(events, self.visits, self.scenario.limits, places, slots, story)
+
+    async def close(self) -> None:
+        """End what still runs, then all that it talked to; the logs go into the folder."""
+        self.faults.end()
+        await self.operators.end()
+        await asyncio.gather(*(process.end(END_S) for process in self.processes.values()))
+        for process in self.processes.values():
+            (self.folder / f"{process.name}.log").write_text("\n".join(process.lines) + "\n")
+        for box in self.executors.values():
+            if box.alive:
+                box.close()
+        for director in self.directors.values():
+            director.close()
+        self.links.close()
+
+
+def play(scenario: FleetScenario, seed: int, folder: Path | None = None,
+         told: Callable[[float], None] = lambda done: None) -> Record:  # fmt: skip
+    """Play a scenario with one seed; what it left goes to `folder` where one is given."""
+    with tempfile.TemporaryDirectory(prefix="cedarmill-fleet-") as spare, asyncio.Runner(
+            loop_factory=uvloop.new_event_loop) as runner:  # fmt: skip
+        run = FleetRun(scenario, seed, folder or Path(spare), told)
+        record = runner.run(run.play())
+        run.history.write(run.folder / "history.jsonl")
+        return record
--- /dev/null
+++ b/cedarmill/lab/fleet/scenario.py
@@ -0,0 +1,128 @@
+"""A scenario file of many processes to plain values; those that the package ships go by their name."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from lxml import etree
+
+from cedarmill.conf.document import ConfError, load, microseconds, share
+from cedarmill.lab.load import Habits
+from cedarmill.lab.scenario import class_habits, class_rules
+from cedarmill.lab.story import ClassRules
+
+SHIPPED = Path(__file__).parent / "scenarios"
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Who is there."""
+
+    nodes: int
+    keepers: int
+    executors: int
+    zones: int
+    stewards: bool
+    cores: int
+    slots: int
+    queue: int
+    slowest: float
+    fastest: float
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """What may be out at once, as the fleet's own limits say it; shares in thousandths, -1: not set."""
+
+    kind: str
+    per: str
+    most: int = -1
+    share: int = -1
+    capacity_left: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Happening:
+    """One entry of the timeline: an element's name, when, how long (0: for good), and its other words."""
+
+    what: str
+    at: int
+    lasts: int
+    words: dict[str, str] = field(default_factory=dict)
+    line: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetScenario:
+    """All of a scenario but its seed."""
+
+    name: str
+    about: str
+    length: int
+    fleet: Fleet
+    rate: float
+    habits: tuple[Habits, ...]
+    rules: dict[str, ClassRules]
+    worths: dict[str, float]
+    limits: tuple[Limit, ...]
+    timeline: tuple[Happening, ...]
+
+
+def shipped() -> list[str]:
+    """The names of the scenarios that the package ships."""
+    return sorted(path.stem for path in SHIPPED.glob("*.xml"))
+
+
+def read(name: str) -> FleetScenario:
+    """A shipped scenario by its name, or a file by its path; raises ConfError or OSError."""
+    path = SHIPPED / f"{name}.xml"
+    if name not in shipped():
+        path = Path(name)
+        if not path.exists():
+            raise ConfError(f"{name}: neither a file nor one of {', '.join(shipped())}")
+    root = load(path, "fleet-scenario")
+    classes = root.findall("load/class")
+    timeline = tuple(_happening(path, element) for element in root if element.tag in _NEEDS)
+    return FleetScenario(
+        path.stem, root.get("about"), microseconds(root.get("length")), _fleet(root.find("fleet")),
+        float(root.find("load").get("rate")), tuple(map(class_habits, classes)),
+        {element.get("name"): class_rules(element) for element in classes},
+        {element.get("name"): float(element.get("worth")) for element in classes},
+        tuple(_limit(path, element) for element in root.findall("limit")), timeline,
+    )  # fmt: skip
+
+
+def _fleet(element: etree._Element) -> Fleet:
+    numbers = [int(element.get(name)) for name in ("nodes", "keepers", "executors", "zones")]
+    places = [int(element.get(name)) for name in ("cores", "slots", "queue")]
+    speeds = float(element.get("slowest")), float(element.get("fastest"))
+    return Fleet(*numbers, element.get("stewards") == "on", *places, *speeds)
+
+
+def _limit(path: Path, element: etree._Element) -> Limit:
+    most, part, left = (element.get(name) for name in ("most", "share", "capacity-left"))
+    if most is None and part is None and left is None:
+        raise ConfError(f"{path}:{element.sourceline}: <limit>: one of most, share, capacity-left is needed")
+    return Limit(element.get("kind"), element.get("per"), -1 if most is None else int(most),
+                 _thousandths(part), _thousandths(left))  # fmt: skip
+
+
+def _thousandths(text: str | None) -> int:
+    return -1 if text is None else round(share(text) * 1000)
+
+
+# what an entry needs beside the schema, by its element: (when its word is this), these words
+_NEEDS = {
+    "process": {"slow": ("size",)},
+    "link": {"drop": ("share",), "delay": ("delay",), "trickle": ("bytes-per-s",)},
+    "partition": {}, "disk": {}, "executor": {}, "chance": {},
+    "operator": {"restart": ("target",), "release": ("version",)},
+}  # fmt: skip
+
+
+def _happening(path: Path, element: etree._Element) -> Happening:
+    words = {name: value for name, value in element.attrib.items() if name not in ("at", "for")}
+    for needed in _NEEDS[element.tag].get(words.get("fault", words.get("act", "")), ()):
+        if needed not in words:
+            raise ConfError(f"{path}:{element.sourceline}: <{element.tag}> {needed}: needed here")
+    lasts = microseconds(element.get("for", "0s"))
+    return Happening(element.tag, microseconds(element.get("at")), lasts, words, element.sourceline)
--- a/cedarmill/lab/report.py
+++ b/cedarmill/lab/report.py
@@ -18,7 +18,7 @@
 PERCENTILES = (0, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9)
 SHOWN = 20  # breaches of a rule in a report
 _SHARES = ("served", "refused", "failed", "for_nobody")
-_STYLE = """body{font:15px/1.5 sans-serif;max-width:70em;margin:2em auto;padding:0 1em}
+STYLE = """body{font:15px/1.5 sans-serif;max-width:70em;margin:2em auto;padding:0 1em}
 table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #bbb;padding:.2em .6em;text-align:right}
 th:first-child,td:first-child{text-align:left}.bad{background:#fdd}img{max-width:100%}"""
 
@@ -42,7 +42,8 @@
     return f"{story.side} (seed {story.seed})"
 
 
-def _picture(draw: Callable, title: str, across: str, up: str) -> str:
+def picture(draw: Callable, title: str, across: str, up: str) -> str:
+    """One plot as an element of the page; `draw` is given its axes."""
     figure, axes = pyplot.subplots(figsize=(9, 4))
     draw(axes)
     axes.set(title=title, xlabel=across, ylabel=up)
@@ -62,7 +63,7 @@
             values = [histogram.get_value_at_percentile(part) / 1e6 for part in PERCENTILES]
             axes.plot([str(part) for part in PERCENTILES], values, marker="o", label=_label(story))
 
-    return _picture(draw, "Time from due to answer, of what was served", "percentile", "seconds")
+    return picture(draw, "Time from due to answer, of what was served", "percentile", "seconds")
 
 
 def _nobody(stories: Sequence[Story]) -> str:
@@ -77,7 +78,7 @@
                     bins[second] += max(0, end - max(visit.began, left[visit.id])) / 1e6
             axes.plot(range(len(bins)), bins, label=_label(story))
 
-    return _picture(
+    return picture(
         draw, "Slot-time spent for nobody, by the second in which the client left", "second", "slot-seconds"
     )
 
@@ -91,7 +92,7 @@
                     bins[min(len(bins) - 1, call.answers[0].at // 1_000_000)] += 1
             axes.plot(range(len(bins)), bins, label=_label(story))
 
-    return _picture(draw, "Calls served", "second", "calls a second")
+    return picture(draw, "Calls served", "second", "calls a second")
 
 
 def _table(head: Sequence[str], body: Sequence[tuple[str, Sequence[str]]]) -> str:
@@ -117,7 +118,7 @@
     title = html.escape(", ".join(dict.fromkeys(story.scenario for story in stories)))
     head = ["", *map(_label, stories)]
     return (
-        f"<!doctype html><meta charset=utf-8><title>{title}</title><style>{_STYLE}</style><h1>{title}</h1>"
+        f"<!doctype html><meta charset=utf-8><title>{title}</title><style>{STYLE}</style><h1>{title}</h1>"
         + _table(head, rows(stories)) + _latency(stories) + _nobody(stories) + _served(stories)
         + "<h2>Rules</h2>" + "".join(map(_breaches, stories))
     )  # fmt: skip
--- a/cedarmill/lab/scenario.py
+++ b/cedarmill/lab/scenario.py
@@ -96,7 +96,7 @@
     return Scenario(
         path.stem, root.get("about"), microseconds(root.get("length")), _fleet(root.find("fleet")), nodes,
         float(clients.get("rate")), _trace(path, clients), clients.get("leave-by"),
-        tuple(map(_habits, classes)), {element.get("name"): _rules(element) for element in classes},
+        tuple(map(class_habits, classes)), {element.get("name"): class_rules(element) for element in classes},
         {element.get("name"): float(element.get("worth")) for element in classes}, faults, sides,
     )  # fmt: skip
 
@@ -122,14 +122,16 @@
     return tuple(times)
 
 
-def _habits(element: etree._Element) -> Habits:
+def class_habits(element: etree._Element) -> Habits:
+    """What the clients of a `<class>` do."""
     get = element.get
     return Habits(get("name"), share(get("part")), microseconds(get("budget")), microseconds(get("work")),
                   float(get("spread")), share(get("leave")), microseconds(get("patience")),
                   int(get("retries")), get("effect") != "unsafe")  # fmt: skip
 
 
-def _rules(element: etree._Element) -> ClassRules:
+def class_rules(element: etree._Element) -> ClassRules:
+    """What may be repeated of a `<class>`."""
     return ClassRules(element.get("effect"), "zone", microseconds(element.get("window", "0s")))
 
 
