Take the import circle out of the header-borne health codecs

orca.py and state.py imported each other (the second within a function); what both need, the report's values and its error, now stands in load.py.

--- a/cedarmill/health/wire/state.py
+++ b/cedarmill/health/wire/state.py
@@ -11,15 +11,10 @@
 import json
 import math
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
-MAX_HEADER = 4096  # bytes: a checker's or backend's header is some tens; more is no header of these
-MAX_METRICS = 64  # named metrics that are kept of one report
-
-
-class StateError(ValueError):
-    """A header that says nothing that can be used, with the reason in one line."""
+from cedarmill.health.wire.load import MAX_HEADER, MAX_METRICS, LoadReport, StateError
 
 
 class ServerState(StrEnum):
@@ -87,19 +82,6 @@
     return int(text)
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """What a backend says of its load; utilisations are fractions (1.0 is all), None where not named."""
-
-    cpu_utilization: float | None = None
-    mem_utilization: float | None = None
-    application_utilization: float | None = None
-    rps_fractional: float | None = None  # requests a second
-    eps: float | None = None  # errors a second
-    named_metrics: dict[str, float] = field(default_factory=dict)
-    utilization: dict[str, float] = field(default_factory=dict)
-
-
 _TOP = ("cpu_utilization", "mem_utilization", "application_utilization", "rps_fractional", "eps")
 _MAPS = ("named_metrics", "utilization")
 
--- a/tests/test_header_health.py
+++ b/tests/test_header_health.py
@@ -7,12 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cedarmill.health.wire.load import LoadReport, StateError
 from cedarmill.health.wire.orca import parse_binary, render_binary
 from cedarmill.health.wire.state import (
     CheckerView,
-    LoadReport,
     ServerState,
-    StateError,
     parse_load_report,
     parse_server_state,
 )
@@ -39,10 +38,14 @@
 
 class OrcaReports(unittest.TestCase):
     def test_text_and_json_say_the_same(self):
-        text = parse_load_report("TEXT cpu_utilization=0.3, mem_utilization=0.8, rps_fractional=10, "
-                                 "named_metrics.queue=4, utilization.slots=0.5")
-        document = ('{"cpu_utilization": 0.3, "mem_utilization": 0.8, "rps_fractional": 10, '
-                    '"named_metrics": {"queue": 4}, "utilization": {"slots": 0.5}}')
+        text = parse_load_report(
+            "TEXT cpu_utilization=0.3, mem_utilization=0.8, rps_fractional=10, "
+            "named_metrics.queue=4, utilization.slots=0.5"
+        )
+        document = (
+            '{"cpu_utilization": 0.3, "mem_utilization": 0.8, "rps_fractional": 10, '
+            '"named_metrics": {"queue": 4}, "utilization": {"slots": 0.5}}'
+        )
         json = parse_load_report("JSON " + document)
         self.assertEqual(text, json)
         self.assertEqual(text, LoadReport(0.3, 0.8, None, 10.0, None, {"queue": 4.0}, {"slots": 0.5}))
@@ -57,6 +60,7 @@
             with self.subTest(value), self.assertRaises(StateError):
                 parse_load_report(value)
 
+
 class OrcaBinary(unittest.TestCase):
     """The protobuf form, against bytes written out by hand from the definition's field numbers."""
 
