--- /dev/null
+++ b/cedarmill/fleet/hosting.py
@@ -0,0 +1,66 @@
+"""Carries a keeper's actions out in their order, whatever the disk and the network are; no I/O of its own.
+
+All that came in a turn is kept by one sync, and nothing is sent or answered before it.
+"""
+
+from typing import Protocol
+
+from cedarmill.fleet.agree import words as w
+from cedarmill.fleet.keeper import Keeper, Reply, Snap
+
+
+class Port(Protocol):
+    """A disk, a network, and a log for operators."""
+
+    def save(self, action: w.Save | w.Put) -> None: ...
+    def sync(self) -> bool: ...
+    def put_snapshot(self, snapshot: w.Snapshot, entries: list[w.Entry]) -> None: ...
+    def send(self, target: str, message: object) -> None: ...
+    def reply(self, token: int, answer: object) -> None: ...
+    def tell(self, action: w.Role | w.Alarm) -> None: ...
+
+
+class Host:
+    """Runs one keeper on a port."""
+
+    def __init__(self, keeper: Keeper, port: Port) -> None:
+        self.keeper, self.port = keeper, port
+        self.pending: list = []
+
+    def take(self, actions: list) -> None:
+        """Actions of this turn; `flush` carries them out."""
+        self.pending += actions
+
+    def flush(self, now: int) -> None:
+        """Carry out all that is pending, and what follows of it; raises OSError where the disk fails."""
+        outward: list = []
+        while self.pending:
+            actions, self.pending = self.pending, []
+            last = -1
+            for action in actions:
+                if isinstance(action, w.Save | w.Put):
+                    self.port.save(action)
+                    last = action.entries[-1].index if isinstance(action, w.Put) else last
+                elif isinstance(action, w.Install):
+                    self.port.put_snapshot(action.snapshot, list(self.keeper.agree.log.entries))
+                elif isinstance(action, Snap):
+                    self._snap(now, action.snapshot)
+                else:
+                    outward.append(action)
+            if self.port.sync() and last >= 0:
+                self.pending += self.keeper.synced(now, last)
+        self._out(outward)
+
+    def _snap(self, now: int, snapshot: w.Snapshot) -> None:
+        rest = [entry for entry in self.keeper.agree.log.entries if entry.index > snapshot.index]
+        self.port.put_snapshot(snapshot, rest)
+        self.pending += self.keeper.kept(now, snapshot)
+
+    def _out(self, actions: list) -> None:
+        for action in actions:
+            if isinstance(action, w.Send):
+                self.port.send(action.target, action.message)
+            elif isinstance(action, Reply):
+                self.port.reply(action.token, action.answer)
+            else:
+                self.port.tell(action)
--- /dev/null
+++ b/cedarmill/fleet/keeper.py
@@ -0,0 +1,453 @@
+"""A keeper without I/O: the agreed log, what is agreed, sessions and requests, wired together.
+
+`heard`, `asked`, `passed` and `synced` return actions: those of `agree/words.py` that are the adapter's
+(Save, Put, Install, Send, Alarm, Role), and Reply, Snap. Between keepers `Send` also carries Relay and
+Relayed.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from cedarmill.fleet import commands, compare, permits, release, views
+from cedarmill.fleet import words as f
+from cedarmill.fleet.agree import words as w
+from cedarmill.fleet.agree.core import Agree, Saved, Timing
+from cedarmill.fleet.members import LEASE, LOOKERS, Sessions, Sights
+from cedarmill.fleet.world import Target, World, freeze, thaw
+
+SNAP_EVERY = 2_000  # entries that the log may hold before a snapshot is made
+LOOK_EVERY = 100_000  # us between two looks of the leader at sessions, sights and what is due
+RELAY_KEPT = 3_000_000  # that an answer from the leader is waited for
+COMPARE_EVERY = 1_000_000
+KEEPER_SILENT = 2_000_000  # of a keeper that does not answer: it counts as silent
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Answer what was asked under that token."""
+
+    token: int
+    answer: f.Answer
+
+
+class Snap(msgspec.Struct, frozen=True):
+    """Keep this snapshot beside the log, drop what it holds, then say `kept`."""
+
+    snapshot: w.Snapshot
+
+
+class Keeper:
+    """One keeper."""
+
+    def __init__(self, name: str, saved: Saved, now: int, seed: int, timing: Timing | None = None,
+                 world: World | None = None) -> None:  # fmt: skip
+        self.name = name
+        self.agree = Agree(name, saved, now, seed, timing)
+        data = saved.snapshot.data
+        self.world = thaw(data) if data else world or World()
+        self.led_from = 0  # when it came to lead, and the fleet's clock then
+        self.clock_then = 0
+        self.sessions = Sessions(now)
+        self.sights = Sights()
+        self.looked = now
+        self.compared = now
+        self.bases: dict[int, dict[str, compare.Counts]] = {}
+        self._tokens = 0
+        self._waits: dict[int, tuple[int, f.Ask]] = {}  # our token: the asker's, and what it asked
+        self._placed: dict[int, tuple[int, int, f.Ask]] = {}  # index: term, the asker's token, what it asked
+        self._reads: dict[int, tuple[int, f.Ask]] = {}
+        self._relays: dict[int, tuple[int, int]] = {}  # of a follower: the asker's token, and when
+        self._asked_by: dict[int, tuple[str, int]] = {}  # of the leader: which keeper relayed, under what id
+        self._pending: set[str] = (
+            set()
+        )  # commands that wait to be agreed, so that they are not proposed twice
+        self.actions: list = []
+        self.watch: Callable[[w.Entry], None] | None = None  # told of each entry that is agreed
+
+    # Events.
+
+    def heard(self, now: int, source: str, message: f.Between) -> list:
+        """A message of another keeper."""
+        self.actions = []
+        if isinstance(message, f.Relay):
+            token = self._token()
+            self._asked_by[token] = source, message.id
+            self._ask(now, token, message.ask)
+        elif isinstance(message, f.Relayed):
+            if (waiting := self._relays.pop(message.id, None)) is not None:
+                self.actions.append(Reply(waiting[0], message.answer))
+        else:
+            self._agree(now, w.Heard(source, message))
+        return self._done(now)
+
+    def asked(self, now: int, token: int, ask: f.Ask) -> list:
+        """A member or an operator asks; the answer comes as Reply, or never where this keeper is cut off."""
+        self.actions = []
+        self._ask(now, token, ask)
+        return self._done(now)
+
+    def passed(self, now: int) -> list:
+        """Time has passed; to be called at `due` at the latest."""
+        self.actions = []
+        self._agree(now, w.Passed())
+        for number in [n for n, (_, at) in self._relays.items() if now - at > RELAY_KEPT]:
+            del self._relays[number]
+        return self._done(now)
+
+    def synced(self, now: int, index: int) -> list:
+        """All that was to be kept up to that index is on the disk."""
+        self.actions = []
+        self._agree(now, w.Synced(index))
+        return self._done(now)
+
+    def kept(self, now: int, snapshot: w.Snapshot) -> list:
+        """The snapshot is on the disk."""
+        self.actions = []
+        self._agree(now, w.Kept(snapshot))
+        return self._done(now)
+
+    @property
+    def due(self) -> int:
+        """When to call `passed`."""
+        return min(self.agree.due, self.looked + LOOK_EVERY) if self.leads else self.agree.due
+
+    @property
+    def leads(self) -> bool:
+        return self.agree.part.value == "leader"
+
+    def clock(self, now: int) -> int:
+        """The fleet's time, by a leader."""
+        return self.clock_then + now - self.led_from
+
+    def _token(self) -> int:
+        self._tokens += 1
+        return -self._tokens  # the adapter's are positive
+
+    def _done(self, now: int) -> list:
+        if self.leads and now - self.looked >= LOOK_EVERY and self.agree.leads(now):
+            self._look(now)
+        if len(self.agree.log.entries) > SNAP_EVERY and self.agree.applied > self.agree.log.snapshot.index:
+            self._snap()
+        found, self.actions = self.actions, []
+        return found
+
+    # The agreed log.
+
+    def _agree(self, now: int, event: w.Event) -> None:
+        for action in self.agree.step(now, event):
+            taken = self._TAKEN.get(type(action))
+            if taken is None:
+                self.actions.append(action)
+            else:
+                taken(self, now, action)
+
+    def _commit(self, now: int, action: w.Commit) -> None:
+        for entry in action.entries:
+            if self.watch is not None:
+                self.watch(entry)
+            done = None
+            if entry.kind == w.COMMAND:
+                done = commands.apply(self.world, entry.index, entry.data)
+            placed = self._placed.pop(entry.index, None)
+            if placed is not None:
+                self._answer_placed(entry, placed, done)
+
+    def _answer_placed(self, entry: w.Entry, placed: tuple[int, int, f.Ask], done) -> None:
+        term, token, ask = placed
+        if term != entry.term:
+            self._reply(token, f.NotHere("the leader changed: ask again with the same id"))
+        elif isinstance(ask, f.Do):
+            self._reply(token, views.did(self.world, ask.request, done))
+        elif isinstance(ask, f.Keepers):
+            self._reply(token, f.Did(True, f"the keepers are {', '.join(sorted(self.agree.config))}"))
+
+    def _install(self, now: int, action: w.Install) -> None:
+        self.world = thaw(action.snapshot.data) if action.snapshot.data else World()
+        self._placed.clear()
+        self.actions.append(action)
+
+    def _accepted(self, now: int, action: w.Accepted) -> None:
+        waiting = self._waits.pop(action.token, None)
+        if waiting is not None:
+            self._placed[action.index] = action.term, *waiting
+
+    def _rejected(self, now: int, action: w.Rejected) -> None:
+        waiting = self._waits.pop(action.token, None) or self._reads.pop(action.token, None)
+        if waiting is not None:
+            self._reply(waiting[0], f.NotHere(action.reason, action.leader))
+
+    def _confirmed(self, now: int, action: w.Confirmed) -> None:
+        waiting = self._reads.pop(action.token, None)
+        if waiting is None:
+            return
+        token, ask = waiting
+        if isinstance(ask, f.Beat):
+            self._reply(token, self._beaten(now, ask))
+        else:
+            self._reply(token, f.Shown(views.show(self, now, ask)))
+
+    def _role(self, now: int, action: w.Role) -> None:
+        self.actions.append(action)
+        if action.leads:
+            self.led_from, self.clock_then = now, self.world.clock
+            self.sessions, self.sights = Sessions(now), Sights()
+            self.looked = now
+            self.bases.clear()
+        else:
+            for token, _ in self._waits.values():
+                self._reply(token, f.NotHere("no longer the leader", action.leader))
+            for _, token, _ in self._placed.values():
+                self._reply(token, f.NotHere("the leader changed: ask again with the same id", action.leader))
+            self._waits.clear()
+            self._placed.clear()
+        self._pending.clear()
+
+    _TAKEN = {w.Commit: _commit, w.Install: _install, w.Accepted: _accepted, w.Rejected: _rejected,
+              w.Confirmed: _confirmed, w.Role: _role}  # fmt: skip
+
+    def _snap(self) -> None:
+        index = self.agree.applied
+        config = self.agree.config if self.agree.config_index <= index else None
+        if config is not None:  # one that is not agreed yet must not stand in a snapshot
+            snapshot = w.Snapshot(index, self.agree.log.term(index), config, freeze(self.world))
+            self.actions.append(Snap(snapshot))
+
+    # Requests.
+
+    def _reply(self, token: int, answer: f.Answer) -> None:
+        relayed = self._asked_by.pop(token, None)
+        if relayed is not None:
+            self.actions.append(w.Send(relayed[0], f.Relayed(relayed[1], answer)))
+        else:
+            self.actions.append(Reply(token, answer))
+
+    def _ask(self, now: int, token: int, ask: f.Ask) -> None:
+        if isinstance(ask, f.Ping):
+            self._reply(token, f.Pong(self.name, ""))
+        elif not self.agree.leads(now):
+            self._relay(now, token, ask)
+        elif isinstance(ask, f.Beat):
+            self._beat(now, token, ask)
+        elif isinstance(ask, f.Look):
+            self._read(now, token, ask)
+        elif isinstance(ask, f.Do):
+            self._propose(now, msgspec.structs.replace(ask.request, at=self.clock(now)), token, ask)
+        else:
+            self._keepers(now, token, ask)
+
+    def _relay(self, now: int, token: int, ask: f.Ask) -> None:
+        leader = self.agree.leader
+        if not leader or leader == self.name or token in self._asked_by:
+            self._reply(token, f.NotHere("no leader is known here"))
+            return
+        number = -self._token()
+        self._relays[number] = token, now
+        self.actions.append(w.Send(leader, f.Relay(number, ask)))
+
+    def _read(self, now: int, token: int, ask: f.Ask) -> None:
+        own = self._token()
+        self._reads[own] = token, ask
+        self._agree(now, w.Read(own, not isinstance(ask, f.Beat)))
+
+    def _propose(self, now: int, command: commands.Command, token: int = 0, ask: f.Ask | None = None) -> None:
+        own = self._token()
+        if token:
+            self._waits[own] = token, ask
+        self._agree(now, w.Propose(commands.encode(command), own))
+
+    def _keepers(self, now: int, token: int, ask: f.Keepers) -> None:
+        if ask.act == "lead":
+            self._agree(now, w.HandOver(ask.name))
+            self._reply(token, f.Did(True, "the lead is being handed over"))
+            return
+        peer = w.Peer(ask.address, False, ask.disk) if ask.act == "add" else None
+        if ask.act == "add" and not ask.address or ask.act not in ("add", "remove"):
+            self._reply(
+                token, f.Did(False, f"cannot {ask.act} {ask.name}: add NAME ADDRESS DISK, or remove NAME")
+            )
+            return
+        own = self._token()
+        self._waits[own] = token, ask
+        self._agree(now, w.Change(ask.name, peer, own))
+
+    # Sessions.
+
+    def _beat(self, now: int, token: int, beat: f.Beat) -> None:
+        key = f"{beat.kind}:{beat.name}:{beat.life}"
+        new = key not in self.sessions.by_key
+        session = self.sessions.beat(now, key, beat)
+        if new or beat.term != self.agree.term:
+            session.term_told = bool(beat.seen) or session.term_told
+        if beat.kind == "node":
+            self.sights.dirty.update(beat.seen)
+        self._tell(now, key, beat)
+        self._read(now, token, beat)
+
+    def _tell(self, now: int, key: str, beat: f.Beat) -> None:
+        """Put what a beat tells into the log, where it changes what is agreed."""
+        at, member = self.clock(now), self.world.members.get(key)
+        if member is None:
+            self._once(
+                now,
+                f"join {key}",
+                commands.Joined(
+                    at,
+                    beat.kind,
+                    beat.name,
+                    beat.life,
+                    beat.zone,
+                    beat.address,
+                    beat.version,
+                    beat.stops,
+                    beat.unit_type,
+                ),
+            )
+            return
+        if member.state == "ended":
+            return
+        if beat.leaving:
+            self._once(now, f"end {key}", commands.Ended(at, key, "its own word"))
+            return
+        if member.state != "live":
+            self._once(now, f"back {key}", commands.Back(at, key))
+        self._tell_done(now, key, beat)
+        if beat.units and any(self._unit_differs(name, told, beat) for name, told in beat.units.items()):
+            self._once(now, f"units {key} {beat.seq}", commands.Units(at, beat.name, beat.units))
+        for life in beat.ended:
+            if life in self.world.members and self.world.members[life].state != "ended":
+                self._once(now, f"end {life}", commands.Ended(at, life, f"steward {beat.name}"))
+
+    def _tell_done(self, now: int, key: str, beat: f.Beat) -> None:
+        unknown = {name: epoch for name, epoch in beat.held.items()
+                   if epoch >> 40 < self.world.generation and not self._known_out(name)}  # fmt: skip
+        if unknown:
+            self._once(now, f"held {key} {sorted(unknown)}", commands.Held(self.clock(now), key, unknown))
+        done = {}
+        for permit in self.world.permits.values():
+            if permit.out and key in permit.need and beat.done.get(permit.target) == permit.epoch:
+                done[permit.target] = permit.epoch
+        if done:
+            self._once(
+                now, f"done {key} {sorted(done.items())}", commands.Cleared(self.clock(now), key, done)
+            )
+
+    def _known_out(self, name: str) -> bool:
+        kind, _, target = name.partition(":")
+        return any(p.out and (p.kind, p.target) == (kind, target) for p in self.world.permits.values())
+
+    def _unit_differs(self, name: str, told: tuple[str, str, int, int], beat: f.Beat) -> bool:
+        unit = self.world.units.get(name)
+        if unit is None:
+            return True
+        exits = told[2] if told[3] == unit.epoch else unit.exits
+        return (unit.version, unit.state, unit.exits, unit.acted) != (told[0], told[1], exits, told[3])
+
+    def _once(self, now: int, what: str, command: commands.Command) -> None:
+        """Propose it, unless the same waits already to be agreed."""
+        if what not in self._pending:
+            self._pending.add(what)
+            self._propose(now, command)
+
+    def _beaten(self, now: int, beat: f.Beat) -> f.Beaten:
+        key = f"{beat.kind}:{beat.name}:{beat.life}"
+        member = self.world.members.get(key)
+        if member is None or member.state == "ended":
+            return f.Beaten(beat.seq, 0, self.agree.term)
+        lost = any(epoch >> 40 < self.world.generation and not self._known_out(name)
+                   for name, epoch in beat.held.items())  # fmt: skip
+        orders = None if lost or beat.epoch == self.world.told else views.orders(self.world, member)
+        return f.Beaten(beat.seq, LEASE if member.state == "live" else 0, self.agree.term, orders,
+                        self._to_look_at(now, key))  # fmt: skip
+
+    def _to_look_at(self, now: int, key: str) -> dict[str, str]:
+        """A few members look at each suspect, not all."""
+        suspects = self.sessions.suspects(now, self.world)
+        if not suspects:
+            return {}
+        lookers = sorted(k for k in self.sessions.by_key if k not in suspects)
+        found = {}
+        for suspect, address in suspects.items():
+            at = sum(suspect.encode()) % max(1, len(lookers))
+            if key in (lookers[at:] + lookers[:at])[:LOOKERS]:
+                found[suspect] = address
+        return found
+
+    # The leader's look.
+
+    def _look(self, now: int) -> None:
+        """Ten times a second: sessions, sights, what is due, what is to be compared."""
+        self._pending.clear()
+        self.sessions.stood_still(now)
+        self.looked = now
+        self.sessions.forget(self.world)
+        if self.agree.log.term(self.agree.commit) != self.agree.term:
+            return  # what came before is not known to be agreed yet
+        at = self.clock(now)
+        lapse = self.sessions.lapse(now, self.world)
+        targets, mass = self.sights.changes(now, self.sessions, self.world)
+        mass = mass or lapse.mass
+        if mass != self.world.halted and (mass or self._auto(self.world.halted)):
+            self._propose(now, commands.Mass(at, mass))
+        changed = [k for k in lapse.silent if self.world.members[k].state != "silent"]
+        sure = tuple(k for k in lapse.sure if any(k in p.need for p in self.world.permits.values() if p.out))
+        if changed or lapse.cut_off or sure:
+            self._propose(now, commands.Lapsed(at, tuple(changed), lapse.cut_off, sure))
+        targets += self._keeper_targets(now)
+        if targets:
+            self._propose(now, commands.Seen(at, targets))
+        due = commands.due(self.world)
+        if due is not None and at >= due:
+            self._propose(now, commands.Tick(at))
+        if now - self.compared >= COMPARE_EVERY:
+            self.compared = now
+            self._compare(now)
+
+    @staticmethod
+    def _auto(why: str) -> bool:
+        """Whether a halt ends by itself: what was seen is not seen any longer."""
+        return "at once" in why
+
+    def _keeper_targets(self, now: int) -> tuple[Target, ...]:
+        """Keepers are targets too: taking them down is counted."""
+        found = []
+        for name in self.agree.config:
+            follower = self.agree.followers.get(name)
+            silent = name != self.name and (follower is None or now - follower.heard > KEEPER_SILENT)
+            health = "silent" if silent else "well"
+            old = self.world.targets.get(permits.key_of("keeper", name))
+            if old is None or old.health != health:
+                found.append(Target("keeper", name, health=health))
+        return tuple(found)
+
+    def _compare(self, now: int) -> None:
+        going = {r.id for r in release.comparing(self.world)}
+        for number in [number for number in self.bases if number not in going]:
+            del self.bases[number]
+        counts = self._counts()
+        for number in sorted(going):
+            found = self.world.releases[number]
+            base = self.bases.setdefault(number, dict(counts))
+            new, rest = compare.Counts(), compare.Counts()
+            fresh = {step.unit for step in found.steps if step.state == "new"}
+            for name, count in counts.items():
+                if name in fresh and f"new {name}" not in base:
+                    base[name] = base[f"new {name}"] = count  # from when it was ready
+                since = count.less(base.get(name, compare.Counts()))
+                if name in fresh:
+                    new = new.plus(since)
+                else:
+                    rest = rest.plus(since)
+            why = compare.worse(found.plan, new, rest)
+            if why:
+                self._once(now, f"judged {number}", commands.Judged(self.clock(now), number, why))
+
+    def _counts(self) -> dict[str, compare.Counts]:
+        """Of each node's newest life."""
+        found: dict[str, tuple[int, compare.Counts]] = {}
+        for key, session in self.sessions.by_key.items():
+            member = self.world.members.get(key)
+            if member is None or member.kind != "node" or member.state != "live":
+                continue
+            if member.joined >= found.get(member.name, (-1,))[0]:
+                found[member.name] = member.joined, compare.Counts(*session.counts)
+        return {name: counts for name, (_, counts) in found.items()}
--- /dev/null
+++ b/cedarmill/fleet/views.py
@@ -0,0 +1,120 @@
+"""What is agreed, as members are told it and operators see it; no I/O."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cedarmill.fleet import permits, release
+from cedarmill.fleet import words as f
+from cedarmill.fleet.commands import ActRelease, AnyRequest, NewRelease
+from cedarmill.fleet.world import Done, Member, Release, World
+
+if TYPE_CHECKING:
+    from cedarmill.fleet.keeper import Keeper
+
+
+def orders(world: World, member: Member) -> f.Orders:
+    """What a member is to follow now, whole."""
+    out, away, units = {}, 0, {}
+    for permit in world.permits.values():
+        if not permit.out:
+            continue
+        if permit.kind == "executor":
+            out[permit.target] = permit.epoch
+        elif (
+            permit.kind == "node"
+            and permit.target == member.name
+            and not permit.holder.startswith("release:")
+        ):
+            away = permit.epoch
+    if member.kind == "steward":
+        units = release.orders(world, member.name)
+    return f.Orders(world.told, out if member.kind == "node" else {}, away, units)
+
+
+def did(world: World, request: AnyRequest, done: Done) -> f.Did:
+    """What a request came to, with its permits as they stand now."""
+    if isinstance(request, NewRelease | ActRelease):
+        return f.Did(done.ok, done.text, [], done.ids[0] if done.ids else 0)
+    made = [world.permits[number] for number in done.ids if number in world.permits]
+    rows = [[p.id, p.target, p.state, p.notes, p.epoch, p.drained] for p in made]
+    return f.Did(done.ok, done.text, rows)
+
+
+def _permit(world: World, permit) -> dict:
+    row = msgspec.to_builtins(permit)
+    row["age_s"] = round((world.clock - (permit.granted or permit.asked)) / 1e6, 1)
+    return row
+
+
+def _release(world: World, found: Release) -> dict:
+    row = msgspec.to_builtins(found)
+    plan = found.plan
+    row["plan"] = {"version": plan.version, "groups": plan.groups, "width": plan.width}
+    row["age_s"] = round((world.clock - found.since) / 1e6, 1)
+    return row
+
+
+def _status(keeper: "Keeper", now: int) -> dict:
+    world, agree = keeper.world, keeper.agree
+    waiting = sum(p.state == "waiting" for p in world.permits.values())
+    followers = {name: {"match": one.match, "silent_s": round((now - one.heard) / 1e6, 2)}
+                 for name, one in agree.followers.items()}  # fmt: skip
+    return {
+        "cluster": world.cluster, "generation": world.generation, "leader": keeper.name, "term": agree.term,
+        "agreed": agree.commit, "epoch": world.told, "halted": world.halted, "clock_s": world.clock / 1e6,
+        "keepers": {name: {"address": p.address, "votes": p.voter, "disk": p.disk, **followers.get(name, {})}
+                    for name, p in agree.config.items()},
+        "out": sorted(p.target for p in world.permits.values() if p.out), "waiting": waiting,
+        "members": {kind: sum(m.kind == kind and m.state == "live" for m in world.members.values())
+                    for kind in ("node", "steward")},
+    }  # fmt: skip
+
+
+def _members(keeper: "Keeper", now: int) -> list[dict]:
+    rows = []
+    for member in keeper.world.members.values():
+        row = msgspec.to_builtins(member)
+        row["heard_s"] = round((now - keeper.sessions.heard(member.key)) / 1e6, 2)
+        rows.append(row)
+    return rows
+
+
+def _would(world: World, ask: f.Look) -> list[dict]:
+    return [{"target": name, "verdict": verdict.word, "reasons": list(verdict.reasons)}
+            for name, verdict in permits.would(world, ask.kind or "executor", ask.names)]  # fmt: skip
+
+
+def _limits(world: World) -> list[dict]:
+    rows = []
+    for limit in world.limits:
+        scopes = sorted({at for t in world.targets.values() if (at := permits.scope(limit, t)) is not None})
+        out = permits.out_parts(world)
+        for at in scopes or [""]:
+            members = [key for key, t in world.targets.items() if permits.scope(limit, t) == at]
+            rows.append({"limit": limit.text(), "scope": at, "of": len(members),
+                         "allowed": permits.allowed(limit, len(members)),
+                         "out": sum(out.get(key, 0) for key in members) / 1000, "kind": limit.kind,
+                         "per": limit.per, "most": limit.most, "share": limit.share,
+                         "capacity_left": limit.capacity_left})  # fmt: skip
+    return rows
+
+
+def show(keeper: "Keeper", now: int, ask: f.Look) -> bytes:
+    """A part of what is agreed, as JSON."""
+    world = keeper.world
+    parts = {
+        "status": lambda: _status(keeper, now),
+        "members": lambda: _members(keeper, now),
+        "targets": lambda: list(world.targets.values()),
+        "limits": lambda: _limits(world),
+        "permits": lambda: [_permit(world, p) for p in world.permits.values() if not ask.names or p.id in
+                            map(int, ask.names)],
+        "releases": lambda: [_release(world, r) for r in world.releases.values()],
+        "units": lambda: list(world.units.values()),
+        "log": lambda: world.log,
+        "would": lambda: _would(world, ask),
+        "world": lambda: world,
+    }  # fmt: skip
+    part = parts.get(ask.what)
+    return msgspec.json.encode(part() if part is not None else {"error": f"no part {ask.what!r}"})
--- /dev/null
+++ b/cedarmill/fleet/words.py
@@ -0,0 +1,155 @@
+"""What members, operators and keepers say to each other; frames of `net/peers.py` carry these."""
+
+import msgspec
+
+from cedarmill.fleet.agree.words import Message
+from cedarmill.fleet.commands import AnyRequest
+
+
+class Sight(msgspec.Struct, array_like=True, frozen=True):
+    """An executor as one node sees it; `state` by discovery's word, `ill` by the node's own attempts."""
+
+    state: str  # ready, draining, gone
+    ill: bool = False
+    zone: str = ""
+    type: str = ""
+    group: str = ""
+    slots: int = 1
+    started_ms: int = 0
+
+
+class Beat(msgspec.Struct, tag="beat", frozen=True):
+    """A member renews its session, and tells what has changed since it was last answered."""
+
+    kind: str
+    name: str
+    life: str  # of this process: another start is another life
+    seq: int
+    epoch: int  # of the orders that it follows
+    term: int = 0  # of the leader that answered last: another one is told all anew
+    zone: str = ""
+    address: str = ""
+    version: str = ""
+    unit_type: str = ""
+    stops: bool = False
+    doubts: bool = False  # it stood still itself: what it saw then says nothing
+    leaving: bool = False  # it ends, and has nothing out
+    done: dict[str, int] = {}  # targets with which it is done, and the epochs of their grants
+    held: dict[str, int] = {}  # `kind:name` of what it holds to be out, and the epochs
+    seen: dict[str, Sight] = {}
+    units: dict[str, tuple[str, str, int, int]] = {}
+    ended: list[str] = []  # lives of units that a steward has seen end: `node:NAME:LIFE`
+    counts: tuple[int, int, int, int] = (0, 0, 0, 0)  # jobs, failed, late, refused, since the process began
+    reached: dict[str, bool] = {}  # members that it was asked to look at
+
+
+class Orders(msgspec.Struct, frozen=True):
+    """What a member is to follow, whole, under one epoch."""
+
+    epoch: int
+    out: dict[str, int] = {}  # executors that get nothing new, and the epoch of each grant
+    away: int = 0  # the epoch of the grant by which this node is to send its clients away; 0: it serves
+    units: dict[str, tuple[str, int]] = {}  # what a steward is to run, and the epoch of each word
+
+
+class Beaten(msgspec.Struct, tag="beaten", frozen=True):
+    """The session holds for `lease` us from when the beat was sent; 0: there is none yet."""
+
+    seq: int
+    lease: int
+    term: int
+    orders: Orders | None = None
+    look: dict[str, str] = {}  # members of which others hear nothing: reach them at these addresses
+
+
+class Do(msgspec.Struct, tag="do", frozen=True):
+    """An operator's request."""
+
+    request: AnyRequest
+
+
+class Did(msgspec.Struct, tag="did", frozen=True):
+    """What came of it; the permits or release that it made, as they stand."""
+
+    ok: bool
+    text: str
+    permits: list = []  # [id, target, state, notes] each
+    release: int = 0
+
+
+class Look(msgspec.Struct, tag="look", frozen=True):
+    """Ask for a part of what is agreed: status, members, targets, limits, permits, releases, log, would,
+    world.
+    """
+
+    what: str
+    kind: str = ""
+    names: list[str] = []
+
+
+class Shown(msgspec.Struct, tag="shown", frozen=True):
+    """The part, as JSON."""
+
+    text: bytes
+
+
+class Keepers(msgspec.Struct, tag="keepers", frozen=True):
+    """Change the keepers by one: add, remove; or hand the lead over."""
+
+    act: str
+    name: str = ""
+    address: str = ""
+    disk: str = ""
+
+
+class NotHere(msgspec.Struct, tag="not-here", frozen=True):
+    """Not answered by this keeper, and why; the same may be asked of another, with the same id."""
+
+    reason: str
+    leader: str = ""
+
+
+class Ping(msgspec.Struct, tag="ping", frozen=True):
+    """Is that life there? Members ask each other."""
+
+    name: str
+
+
+class Pong(msgspec.Struct, tag="pong", frozen=True):
+    name: str
+    life: str
+
+
+Ask = Beat | Do | Look | Keepers | Ping
+Answer = Beaten | Did | Shown | NotHere | Pong
+
+
+class Relay(msgspec.Struct, tag="relay", frozen=True):
+    """A keeper passes on to the leader what it was asked."""
+
+    id: int
+    ask: Ask
+
+
+class Relayed(msgspec.Struct, tag="relayed", frozen=True):
+    id: int
+    answer: Answer
+
+
+Between = Message | Relay | Relayed  # what keepers send each other
+
+
+class Hello(msgspec.Struct, tag="hello", frozen=True):
+    """The first frame of a connection: who dials, for what, of which cluster."""
+
+    cluster: str
+    name: str
+    role: str  # keeper, or client (a member or an operator)
+    disk: str = ""  # of a keeper: which disk has made its promises
+    boot: int = 0  # and how often it has started on it
+
+
+class Refused(msgspec.Struct, tag="refused", frozen=True):
+    """The connection is not taken, and why."""
+
+    reason: str
--- a/cedarmill/lab/fleet/laws.py
+++ b/cedarmill/lab/fleet/laws.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from cedarmill.lab.fleet import linear
 from cedarmill.lab.fleet.history import Event
 from cedarmill.lab.fleet.scenario import Limit
 from cedarmill.lab.judge import no_forbidden_repeat, one_final_answer, true_results
@@ -26,6 +27,8 @@
     places: dict[str, dict[str, str]] = field(default_factory=dict)  # of a target: kind, zone, type, group
     slots: dict[str, int] = field(default_factory=dict)
     story: Story | None = None
+    cold: int = 0  # us that an executor which came back counts in part; 0: not asked
+    found: list[str] = field(default_factory=list)  # breaches that the run itself saw in what keepers agreed
 
 
 class Out:
@@ -105,6 +108,64 @@
                 yield f"{_when(event)}, {event.who} took {event.target}: {text}"
 
 
+COLD_PART = 0.7  # of an executor that has just come back is not there
+
+
+def cold_ones_count(record: Record) -> Iterator[str]:
+    """Nor with those that have come back and are still cold counted in part."""
+    out, back = Out(record), {}
+    for event in record.events:
+        before = event.target in out.planned
+        out.apply(event)
+        if event.what == "back":
+            back[event.target] = event.at
+        if event.what != "taken" or before or not record.cold:
+            continue
+        back.pop(event.target, None)
+        for limit in record.limits:
+            at = scope(record, limit, event.target)
+            if at is None or limit.kind != "executor":
+                continue
+            parts = sum(scope(record, limit, name) == at for name in out.planned)
+            parts += sum(
+                COLD_PART * max(0.0, 1 - (event.at - since) / record.cold)
+                for name, since in back.items()
+                if scope(record, limit, name) == at and name not in out.planned
+            )
+            if parts > allowed(record, limit, at) + 1e-6:
+                yield f"{_when(event)}, {event.who} took {event.target}: {parts:.2f} out, cold ones in part"
+
+
+def same_id_same_outcome(record: Record) -> Iterator[str]:
+    """A request that is repeated under its id gets the same permit, however often it is asked."""
+    seen: dict[tuple[str, str], float] = {}
+    for event in record.events:
+        if event.what == "answer":
+            first = seen.setdefault((event.who, event.target), event.number)
+            if first != event.number:
+                yield f"{_when(event)}: {event.who} got permits {first:.0f} and {event.number:.0f} by one id"
+
+
+def one_leader_a_term(record: Record) -> Iterator[str]:
+    """No two keepers lead in one term."""
+    leads: dict[int, str] = {}
+    for event in record.events:
+        if event.what == "leads" and leads.setdefault(event.epoch, event.who) != event.who:
+            yield f"{_when(event)}: {event.who} leads in term {event.epoch}, and so did {leads[event.epoch]}"
+
+
+def keepers_agree(record: Record) -> Iterator[str]:
+    """What one keeper has applied at an index, no other applies otherwise."""
+    yield from record.found
+
+
+def grants_in_one_order(record: Record) -> Iterator[str]:
+    """Grants, refusals and returns fit one order, each between its asking and its answer."""
+    fault = linear.fault(record)
+    if fault:
+        yield fault
+
+
 def no_work_after_drained(record: Record) -> Iterator[str]:
     """Once it was said that an executor is drained, nothing reaches it till it is back."""
     spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
@@ -170,6 +231,11 @@
 
 LAWS: dict[str, Callable[[Record], Iterator[str]]] = {
     "never too many out": never_too_many_out,
+    "cold ones count": cold_ones_count,
+    "same id, same outcome": same_id_same_outcome,
+    "one leader a term": one_leader_a_term,
+    "keepers agree": keepers_agree,
+    "grants fit one order": grants_in_one_order,
     "no work after drained": no_work_after_drained,
     "no job lost by plan": no_job_lost_by_plan,
     "epochs only grow": epochs_only_grow,
--- /dev/null
+++ b/cedarmill/lab/fleet/search.py
@@ -0,0 +1,109 @@
+"""Many seeds in virtual time, on all cores: which broke a law, and one hash over all timelines."""
+
+import hashlib
+import multiprocessing
+import time
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from cedarmill.lab.fleet.bugs import planted
+from cedarmill.lab.fleet.laws import verdict
+from cedarmill.lab.fleet.virtual import Shape, Virtual
+from cedarmill.lab.fleet.virtual_log import LogRun, figure_eight
+
+RELEASES = ("", "good", "late", "failing", "exiting")
+
+
+class Found(NamedTuple):
+    """Of one seed: the laws broken, with their texts, the timeline's hash, and its counts."""
+
+    seed: int
+    broken: dict[str, list[str]]
+    digest: str
+    counts: dict[str, int]
+
+
+def shape_of(seed: int) -> Shape:
+    """Every seed draws another fleet: a release of some kind or none, nodes that stop by their lease or
+    not.
+    """
+    release, keepers = RELEASES[seed % len(RELEASES)], 5 if seed % 7 == 0 else 3
+    return Shape(release=release, stops=seed % 3 == 0, keepers=keepers, zones=2 + seed % 2)
+
+
+def one(job: tuple[int, str]) -> Found:
+    """Play one seed, with a bug planted or none."""
+    seed, bug = job
+    with planted(bug):
+        run = Virtual(shape_of(seed), seed)
+        record = run.run()
+        broken = {law: texts for law, texts in verdict(record).items() if texts}
+    counts = Counter(event.what for event in record.events)
+    return Found(seed, broken, run.digest(), dict(counts))
+
+
+def many(seeds: Iterable[int], bug: str = "", workers: int = 1) -> Iterator[Found]:
+    """Play them; in the order of the seeds, whatever the number of workers."""
+    jobs = [(seed, bug) for seed in seeds]
+    if workers == 1:
+        yield from map(one, jobs)
+        return
+    with multiprocessing.get_context("spawn").Pool(workers) as pool:
+        yield from pool.imap(one, jobs, 4)
+
+
+class Hunt(NamedTuple):
+    """Whether a planted bug was found: by which law first, at which seed, and after how long (s)."""
+
+    bug: str
+    law: str
+    seed: int
+    seconds: float
+    laws: dict[str, int]
+
+
+LOG_BUGS = ("stale-leader-grants", "vote-twice", "vote-not-kept", "commit-of-an-older-term",
+            "votes-for-who-knows-less", "sent-before-synced", "reads-without-a-majority")  # fmt: skip
+
+
+def log_run(seed: int) -> LogRun:
+    """Three keepers or five, and each fourth with leaders that die soon."""
+    return LogRun(seed, 3 if seed % 2 else 5, churn=seed % 4 == 2)
+
+
+def hunt_log(bug: str, most: int, first: int = 0) -> Hunt:
+    """The same in runs of the agreed log alone, for bugs of the log."""
+    began = time.monotonic()
+    with planted(bug):
+        if found := figure_eight():
+            return Hunt(bug, found[0], first, round(time.monotonic() - began, 2), {"figure 8": 1})
+        for seed in range(first, first + most):
+            found = log_run(seed).run()
+            if found:
+                return Hunt(bug, found[0], seed, round(time.monotonic() - began, 2), {})
+    return Hunt(bug, "", -1, round(time.monotonic() - began, 2), {})
+
+
+def hunt(bug: str, most: int, first: int = 0) -> Hunt:
+    """Play seeds till a law sees the bug, and then ten more to see which laws do; seed -1: never."""
+    if bug in LOG_BUGS:
+        return hunt_log(bug, most, first)
+    began, seed, law, laws = time.monotonic(), -1, "", Counter()
+    spent = 0.0
+    for number in range(first, first + most):
+        found = one((number, bug))
+        laws.update(found.broken.keys())
+        if found.broken and seed < 0:
+            seed, law, spent = number, next(iter(found.broken)), time.monotonic() - began
+        if seed >= 0 and number >= seed + 10:
+            break
+    return Hunt(bug, law, seed, round(spent or time.monotonic() - began, 2), dict(laws))
+
+
+def digest(found: Iterable[Found]) -> str:
+    """One hash over the timelines of many seeds."""
+    whole = hashlib.blake2b(digest_size=16)
+    for one_ in found:
+        whole.update(one_.digest.encode())
+    return whole.hexdigest()
--- /dev/null
+++ b/cedarmill/lab/fleet/virtual.py
@@ -0,0 +1,901 @@
+"""The same cores on one seeded clock: keepers, nodes, stewards, executors and operators, with faults; no
+sockets.
+
+One seed is one timeline: all chance comes from one tree of seeds, all events of one instant are taken in the
+order in which they were entered, and nothing hangs on hashing. Each process has a clock of its own rate. A
+message may be late, lost or never leave; a disk loses what was not synced; a process may be killed or stand
+still at any moment. The histories are judged by the laws that also judge real processes.
+"""
+
+import hashlib
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from cedarmill.fleet import commands
+from cedarmill.fleet import words as f
+from cedarmill.fleet.agent import Agent, Dial, Facts, Follow, Glance, Say, Who
+from cedarmill.fleet.agree import words as w
+from cedarmill.fleet.agree.core import Saved, Timing
+from cedarmill.fleet.hosting import Host
+from cedarmill.fleet.keeper import Keeper
+from cedarmill.fleet.stewarding import Acted, Keep, Start, Steward, Stop
+from cedarmill.fleet.world import Limit, Plan, World, freeze
+from cedarmill.lab.fleet.history import History
+from cedarmill.lab.fleet.laws import Record
+from cedarmill.lab.fleet.scenario import Limit as LabLimit
+from cedarmill.lab.story import Visit
+
+RATE_MOST = 0.005  # that a clock runs fast or slow: half of the bound that leases are made for
+MS = 1000
+S = 1_000_000
+COLD = 2 * S  # that an executor is cold: shorter than in service, so that a run sees its end
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Who is there, and what happens to them."""
+
+    keepers: int = 3
+    nodes: int = 4
+    executors: int = 8
+    zones: int = 2
+    length: int = 30 * S
+    faults: int = 12  # drawn over the length
+    drains: int = 8
+    release: str = ""  # the new version's kind: good, late, failing or exiting
+    stops: bool = False  # nodes stop sending when their lease has run out
+    limits: tuple[Limit, ...] = (
+        Limit("executor", "fleet", share=300),
+        Limit("executor", "zone", most=1),
+        Limit("node", "fleet", most=1),
+    )
+    kinds: tuple[str, ...] = ("kill", "pause", "cut", "one-way", "isolate", "all-keepers", "node-kill",
+                              "node-pause", "steward-kill", "executor", "old-lease", "snap", "crash",
+                              "mid-change", "trap", "flicker", "cut-node", "sleeper")  # fmt: skip
+
+
+class Clock:
+    """A process's own: it only moves forward, at its own rate."""
+
+    def __init__(self, world: "Virtual", dice: random.Random) -> None:
+        self.world = world
+        self.rate = 1 + dice.uniform(-RATE_MOST, RATE_MOST)
+        self.offset = dice.randrange(10**9)
+
+    def now(self) -> int:
+        return self.offset + int(self.world.time * self.rate)
+
+    def true_wait(self, local: int) -> int:
+        """How long till this clock shows that."""
+        return max(0, int((local - self.now()) / self.rate) + 1)
+
+
+class Process:
+    """What all processes have: a clock, and being dead or standing still."""
+
+    def __init__(self, world: "Virtual", name: str, seed: str) -> None:
+        self.world, self.name = world, name
+        self.clock = Clock(world, random.Random(f"{world.seed}/{seed}/clock"))
+        self.alive, self.paused = True, False
+        self.held: list[tuple[Callable, tuple]] = []  # what came while it stood still
+        self.life = 0
+
+    def run(self, call: Callable, *args) -> None:
+        """Let it do something, now or when it goes on."""
+        if not self.alive:
+            return
+        if self.paused:
+            self.held.append((call, args))
+        else:
+            call(*args)
+
+    def pause(self, length: int) -> None:
+        if self.alive and not self.paused:
+            self.paused = True
+            self.world.after(length, self.go_on)
+
+    def go_on(self) -> None:
+        self.paused = False
+        held, self.held = self.held, []
+        for call, args in held:
+            self.run(call, *args)
+
+    def kill(self) -> None:
+        self.alive, self.paused, self.held = False, False, []
+        self.life += 1
+
+
+class VKeeper(Process):
+    """A keeper with its disk."""
+
+    def __init__(self, world: "Virtual", name: str, config: w.Config, fresh: World) -> None:
+        super().__init__(world, name, name)
+        self.disk = Disk(Saved(1, "", w.Snapshot(1, 1, config, freeze(fresh))))
+        self.copies: list[Saved] = []
+        self.token = itertools.count(1)
+        self.waits: dict[int, Callable] = {}
+        self.start()
+
+    def start(self) -> None:
+        self.alive, self.life = True, self.life + 1
+        self.keeper = Keeper(self.name, self.disk.load(), self.clock.now(),
+                             hash_of(self.world.seed, self.name, self.life), self.world.timing)  # fmt: skip
+        self.host = Host(self.keeper, self)
+        self.keeper.watch = self._agreed
+        self.waits.clear()
+        self.crash = False
+        self._again(self.life)
+
+    def _again(self, life: int) -> None:
+        if life == self.life and self.alive:
+            self.run(self._passed)
+            wait = max(5 * MS, self.clock.true_wait(self.keeper.due)) if not self.paused else 20 * MS
+            self.world.after(min(wait, 100 * MS), self._again, life)
+
+    def _passed(self) -> None:
+        self._do(self.keeper.passed(self.clock.now()))
+
+    def _agreed(self, entry: w.Entry) -> None:
+        """No other keeper may have applied anything else at that index."""
+        known = self.world.agreed.setdefault(entry.index, (entry.term, entry.data))
+        if known != (entry.term, entry.data):
+            when = f"{self.world.time / S:.3f} s"
+            self.world.found.append(f"{when}: {self.name} applies another entry {entry.index}")
+
+    def _do(self, actions: list) -> None:
+        self.host.take(actions)
+        try:
+            self.host.flush(self.clock.now())
+        except OSError:  # killed while it wrote: what was not synced is gone
+            self.kill()
+            self.host.pending = []
+            self.world.after(self.world.dice.randrange(S), self.start)
+
+    def hear(self, source: str, message: object) -> None:
+        self._do(self.keeper.heard(self.clock.now(), source, message))
+
+    def ask(self, ask: f.Ask, back: Callable[[object], None]) -> None:
+        token = next(self.token)
+        self.waits[token] = back
+        self._do(self.keeper.asked(self.clock.now(), token, ask))
+
+    # The port.
+
+    def save(self, action: w.Save | w.Put) -> None:
+        self.disk.save(action)
+
+    def sync(self) -> bool:
+        if self.crash and self.disk.waiting:
+            raise OSError("killed before the sync")
+        return self.disk.sync()
+
+    def put_snapshot(self, snapshot: w.Snapshot, entries: list[w.Entry]) -> None:
+        self.disk.put_snapshot(snapshot, entries)
+
+    def send(self, target: str, message: object) -> None:
+        if target in self.world.keepers:
+            self.world.send(self.name, target, lambda: self.world.keepers[target].hear(self.name, message))
+
+    def reply(self, token: int, answer: object) -> None:
+        back = self.waits.pop(token, None)
+        if back is not None:
+            back(answer)
+
+    def tell(self, action: w.Role | w.Alarm) -> None:
+        if isinstance(action, w.Role) and action.leads:
+            self.world.history.tell(self.name, "leads", epoch=action.term)
+
+
+class Disk:
+    """What is synced outlives a kill; what is not, may be lost whole or in part."""
+
+    def __init__(self, saved: Saved) -> None:
+        self.saved = saved
+        self.waiting: list[w.Save | w.Put] = []
+        self.syncs = 0
+
+    def save(self, action: w.Save | w.Put) -> None:
+        self.waiting.append(action)
+
+    def sync(self) -> bool:
+        if not self.waiting:
+            return False
+        self.syncs += 1
+        for action in self.waiting:
+            self._lay(action)
+        self.waiting = []
+        return True
+
+    def _lay(self, action: w.Save | w.Put) -> None:
+        s = self.saved
+        if isinstance(action, w.Save):
+            self.saved = Saved(action.term, action.vote, s.snapshot, s.entries)
+        else:
+            first = action.entries[0].index
+            kept = tuple(entry for entry in s.entries if entry.index < first)
+            self.saved = Saved(s.term, s.vote, s.snapshot, kept + action.entries)
+
+    def put_snapshot(self, snapshot: w.Snapshot, entries: list[w.Entry]) -> None:
+        self.sync()
+        self.saved = Saved(self.saved.term, self.saved.vote, snapshot, tuple(entries))
+
+    def load(self) -> Saved:
+        self.waiting = []
+        s = self.saved
+        rest = tuple(entry for entry in s.entries if entry.index > s.snapshot.index)
+        return Saved(s.term, s.vote, s.snapshot, rest, s.doubtful)
+
+
+class VMember(Process):
+    """A process with a session."""
+
+    def __init__(self, world: "Virtual", name: str, who: Who) -> None:
+        super().__init__(world, name, f"{name}/{who.life}")
+        self.dice = random.Random(f"{world.seed}/{name}/{who.life}")
+        self.who = who
+        self.agent = Agent(who, list(world.keepers), self.facts, self.clock.now(), self.dice.randrange(99))
+        self.keeper = ""
+        self.calls = 0
+        self._again()
+
+    def facts(self) -> Facts:
+        raise NotImplementedError
+
+    def follow(self, orders: f.Orders) -> None:
+        """Do as ordered."""
+
+    def _again(self) -> None:
+        if self.alive:
+            self.run(self._passed)
+            self.world.after(50 * MS, self._again)
+
+    def _passed(self) -> None:
+        self._do(self.agent.passed(self.clock.now()))
+
+    def _do(self, actions: list) -> None:
+        for action in actions:
+            if isinstance(action, Dial):
+                self.keeper, self.calls = action.keeper, self.calls + 1
+            elif isinstance(action, Say):
+                self._say(action.ask)
+            elif isinstance(action, Follow):
+                self.follow(action.orders)
+            elif isinstance(action, Glance):
+                self._glance(action)
+
+    def _say(self, ask: f.Ask) -> None:
+        keeper, call = self.keeper, self.calls
+
+        def back(answer: object) -> None:
+            orders = isinstance(answer, f.Beaten) and answer.orders is not None
+            if orders and self.name in self.world.trapped:
+                self.world.trapped.discard(self.name)
+                self.pause(4 * S)  # it stands still with orders on their way to it
+            self.world.send(keeper, self.name, lambda: self.run(self._heard, call, answer))
+
+        self.world.ask(self.name, keeper, ask, back)
+
+    def _heard(self, call: int, answer: object) -> None:
+        if call == self.calls:
+            self._do(self.agent.heard(self.clock.now(), answer))
+
+    def _glance(self, glance: Glance) -> None:
+        def found() -> None:
+            there = glance.key in self.world.members and self.world.members[glance.key].alive
+            there = there and not self.world.members[glance.key].paused
+            self.run(self.agent.reached, glance.key, there)
+
+        self.world.after(5 * MS, found)
+
+
+class VNode(VMember):
+    """A node: it sends work to executors that are not out, as long as it knows what is out."""
+
+    def __init__(self, world: "Virtual", name: str, life: str, version: str) -> None:
+        zone = f"z{int(name.partition('-')[2]) % world.shape.zones}"
+        self.out: dict[str, int] = {}
+        self.jobs: dict[str, int] = {}
+        self.tally = [0, 0, 0, 0]
+        self.version = version
+        address, stops = f"v:{name}:{life}", world.shape.stops
+        super().__init__(world, name, Who("node", name, life, zone, address, version, stops=stops))
+        self._work()
+
+    def facts(self) -> Facts:
+        done = {}
+        if self.agent.orders is not None:
+            done = {name: epoch for name, epoch in self.out.items() if not self.jobs.get(name)}
+            if self.agent.orders.away:
+                done[self.name] = self.agent.orders.away
+        seen = {name: f.Sight("ready", not box.up, f"z{n % self.world.shape.zones}", slots=2)
+                for n, (name, box) in enumerate(self.world.executors.items())}  # fmt: skip
+        return Facts(done, seen, counts=tuple(self.tally))
+
+    def follow(self, orders: f.Orders) -> None:
+        self.out = dict(orders.out)
+
+    def _work(self) -> None:
+        if not self.alive:
+            return
+        self.run(self._send)
+        self.world.after(self.dice.randrange(10, 60) * MS, self._work)
+
+    def _send(self) -> None:
+        """One job to an executor that may be sent to."""
+        if not self.may_send():
+            return
+        free = [name for name in self.world.executors if name not in self.out]
+        if not free:
+            return
+        name = self.dice.choice(free)
+        self.jobs[name] = self.jobs.get(name, 0) + 1
+        self.world.visit(self, name)
+
+    def may_send(self) -> bool:
+        """Not before it has heard what is out; one that stops by its lease asks it at this moment."""
+        return self.agent.orders is not None and (not self.who.stops or self.agent.holds(self.clock.now()))
+
+    def ended(self, name: str) -> None:
+        """A job has come back."""
+        self.jobs[name] -= 1
+        self.tally[0] += 1
+        bad = 0.2 if self.version == "failing" else 0.01
+        self.tally[1] += self.dice.random() < bad
+
+
+class VSteward(VMember):
+    """A steward with its machine: it outlives its processes, they outlive it."""
+
+    def __init__(self, world: "Virtual", number: int, life: int) -> None:
+        self.unit = f"node-{number}"
+        self.number = number
+        self.machine = world.machines[number]
+        self.taking = 0  # the epoch of the order that is being acted on
+        self.core = Steward({self.unit: "v1"}, self._new_life, self.machine.kept)
+        super().__init__(world, f"steward-{number}", Who("steward", f"steward-{number}", str(life)))
+        self._act(self.core.begin(self.clock.now(), self._is_alive))
+        self._tick()
+
+    def _new_life(self) -> str:
+        self.machine.lives += 1
+        return f"{self.number}.{self.machine.lives}"
+
+    def _is_alive(self, process) -> bool:
+        node = self.machine.nodes.get(process.life)
+        return node is not None and node.alive
+
+    def facts(self) -> Facts:
+        return Facts(units=self.core.told(), ended=self.core.ended)
+
+    def follow(self, orders: f.Orders) -> None:
+        self.orders = orders
+        self._act(self.core.order(self.clock.now(), orders.units, self.agent.lease_till))
+
+    def _tick(self) -> None:
+        if not self.alive:
+            return
+        self.run(self._look)
+        self.world.after(100 * MS, self._tick)
+
+    def _look(self) -> None:
+        now = self.clock.now()
+        self._act(self.core.passed(now))
+        if self.agent.orders is not None:
+            self._act(self.core.order(now, self.agent.orders.units, self.agent.lease_till))
+        for life, node in list(self.machine.nodes.items()):
+            if not node.alive:
+                del self.machine.nodes[life]
+                self._act(self.core.exited(now, self.unit, life))
+        for process in self.core.to_kill(now):
+            node = self.machine.nodes.get(process.life)
+            if node is not None:
+                node.kill()
+
+    def _act(self, actions: list) -> None:
+        """Carry out what the core says; a fault may come right after a start."""
+        self._carry_out(actions)
+        if self.number in self.world.mid_change and any(isinstance(action, Start) for action in actions):
+            self.world.mid_change.discard(self.number)
+            if self.world.dice.random() < 0.5:
+                self.world.kill_steward(self.number, self.world.dice.randrange(4 * S))
+            else:
+                self.pause(4 * S)
+
+    def _carry_out(self, actions: list) -> None:
+        self.taking = 0
+        for action in actions:
+            if isinstance(action, Keep):
+                self.machine.kept = action.text
+            elif isinstance(action, Start):
+                self._start(action)
+            elif isinstance(action, Stop):
+                node = self.machine.nodes.get(action.life)
+                if node is not None:
+                    self.world.after(300 * MS, self.world.end_node, node)
+            elif isinstance(action, Acted):
+                left = (self.agent.lease_till - self.clock.now()) / S
+                self.world.history.tell(self.name, "acts", action.unit, epoch=action.epoch, number=left)
+                self.taking = action.epoch
+
+    def _start(self, action: Start) -> None:
+        if self.taking:
+            self.world.history.tell(self.name, "taken", action.unit, epoch=self.taking)
+            self.taking = 0
+        node = VNode(self.world, action.unit, action.life, action.version)
+        self.machine.nodes[action.life] = node
+        self.world.members[f"node:{action.unit}:{action.life}"] = node
+        self.world.history.tell(self.name, "starts", action.unit, note=action.version)
+        self.core.started(action.unit, action.life, 1)
+        if action.version == "exiting":
+            self.world.after(500 * MS, node.kill)
+        elif action.version != "late":
+            self.world.after(300 * MS, self._ready, action.unit, action.life, node)
+
+    def _ready(self, unit: str, life: str, node: VNode) -> None:
+        if node.alive and self.alive:
+            self.run(self._ready_now, unit, life)
+        elif node.alive:  # its steward died meanwhile: the next one asks again
+            self.world.after(300 * MS, self.world.ready_at, self.number, unit, life, node)
+
+    def _ready_now(self, unit: str, life: str) -> None:
+        found = self.core.units[unit]
+        if found.current == life and not found.ready:
+            self.world.history.tell(self.name, "back", unit)
+        self._act(self.core.ready(self.clock.now(), unit, life))
+
+
+@dataclass(slots=True)
+class Machine:
+    """What a steward's death leaves."""
+
+    kept: bytes = b""
+    lives: int = 0
+    nodes: dict[str, VNode] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Box:
+    """An executor: jobs, and whether it is up."""
+
+    up: bool = True
+    jobs: int = 0
+
+
+class Operator:
+    """Drains one executor, restarts it, puts it back; asks again, with the same id, till it has an answer."""
+
+    def __init__(self, world: "Virtual", number: int, target: str) -> None:
+        self.world, self.name, self.target = world, f"operator-{number}", target
+        self.dice = random.Random(f"{world.seed}/{self.name}")
+        self.permit = 0
+        self.step = "ask"
+        self.epoch = 0
+        self.tries = 0
+        world.history.tell(self.name, "asked", target)
+        self._go()
+
+    def _go(self) -> None:
+        """Ask what the step needs, at a keeper drawn by chance; again later if no answer comes."""
+        if self.step in ("restart", "end"):
+            return
+        keeper = self.dice.choice(list(self.world.keepers))
+        self.tries += 1
+
+        step = self.step
+
+        def back(answer: object) -> None:
+            self.world.send(keeper, self.name, lambda: self._heard(answer, step))
+
+        asks = {
+            "ask": lambda: f.Do(commands.Ask(0, self.name, "1", "executor", (self.target,))),
+            "wait": lambda: f.Look("permits", names=[str(self.permit)]),
+            "give": lambda: f.Do(commands.Give(0, self.name, "2", "executor", self.target)),
+        }  # fmt: skip
+        self.world.ask(self.name, keeper, asks[self.step](), back)
+        if self.step == "ask" and self.tries == 1 and self.dice.random() < 0.3:  # pressed twice
+            other = self.dice.choice(list(self.world.keepers))
+            self.world.ask(self.name, other, asks["ask"](), back)
+        self.world.after(self.dice.randrange(200, 700) * MS, self._go)
+
+    def _heard(self, answer: object, step: str) -> None:
+        if step == "ask" and isinstance(answer, f.Did):
+            self.world.history.tell(self.name, "answer", self.target, number=answer.permits[0][0])
+        if self.step == "ask" and isinstance(answer, f.Did):
+            self.permit = answer.permits[0][0]
+            self._saw(answer.permits[0][2], answer.permits[0][4], answer.permits[0][5])
+        elif self.step == "wait" and isinstance(answer, f.Shown):
+            rows = msgspec.json.decode(answer.text)
+            if rows:
+                self._saw(rows[0]["state"], rows[0]["epoch"], rows[0]["drained"])
+        elif self.step == "give" and isinstance(answer, f.Did):
+            self.step = "end"
+            self.world.history.tell(self.name, "given", self.target)
+
+    def _saw(self, state: str, epoch: int, drained: int) -> None:
+        history = self.world.history
+        if state in ("refused", "expired", "withdrawn", "returned"):
+            history.tell(self.name, state, self.target)
+            self.step = "end"
+            return
+        if self.step == "ask":
+            self.step = "wait"
+        if state in ("granted", "lost") and not self.epoch:
+            self.epoch = epoch
+            history.tell(self.name, "taken", self.target, epoch=epoch)
+        if drained and self.step == "wait":
+            self.step = "restart"
+            history.tell(self.name, "drained", self.target, epoch=epoch)
+            self.world.wake()
+            self.world.after(self.dice.randrange(200 * MS, 3 * S), self._restart)
+
+    def _restart(self) -> None:
+        box = self.world.executors[self.target]
+        self.world.history.tell(self.target, "down", self.target, note="planned", number=box.jobs)
+        box.up = False
+        self.world.after(400 * MS, self._up)
+
+    def _up(self) -> None:
+        self.world.executors[self.target].up = True
+        self.world.history.tell(self.target, "up", self.target, note="planned")
+        self.world.history.tell(self.name, "returning", self.target)
+        self.world.history.tell(self.name, "back", self.target)
+        self.world.history.tell(self.name, "giving", self.target)
+        self.step = "give"
+        self._go()
+
+
+def hash_of(*parts: object) -> int:
+    """A number of the parts that does not hang on Python's hashing."""
+    return int.from_bytes(hashlib.blake2b(repr(parts).encode(), digest_size=6).digest(), "big")
+
+
+class Virtual:
+    """One run."""
+
+    def __init__(self, shape: Shape, seed: int) -> None:
+        self.shape, self.seed = shape, seed
+        self.time = 0
+        self.timing = Timing()
+        self.dice = random.Random(f"{seed}/world")
+        self.net = random.Random(f"{seed}/net")
+        self.history = History(lambda: self.time)
+        self.visits: list[Visit] = []
+        self._queue: list[tuple[int, int, Callable, tuple]] = []
+        self._order = itertools.count()
+        self._last: dict[tuple[str, str], int] = {}
+        self.cut: dict[tuple[str, str], int] = {}  # till when nothing passes
+        self.messages = 0
+        self.sleepers: list[VNode] = []  # nodes that stand still till something is drained
+        self.mid_change: set[int] = set()  # stewards that meet a fault right after their next start
+        self.trapped: set[str] = set()  # members that stand still when orders are on their way
+        self.agreed: dict[int, tuple[int, bytes]] = {}  # what was applied first at each index
+        self.found: list[str] = []
+        self.executors = {f"box-{n}": Box() for n in range(shape.executors)}
+        self.members: dict[str, VMember] = {}
+        self.machines = [Machine() for _ in range(shape.nodes)]
+        names = [f"keeper-{n}" for n in range(shape.keepers)]
+        config = {name: w.Peer("", True, "") for name in names}
+        fresh = World("lab", limits=list(shape.limits), cold_us=COLD)
+        self.keepers: dict[str, VKeeper] = dict.fromkeys(names)
+        for name in names:
+            self.keepers[name] = VKeeper(self, name, config, fresh)
+        self.stewards = [VSteward(self, n, 0) for n in range(shape.nodes)]
+        self.operators: list[Operator] = []
+        self.release = Driver(self, shape.release) if shape.release else None
+
+    # Time and network.
+
+    def after(self, wait: int, call: Callable, *args) -> None:
+        """Call that after a true time."""
+        heapq.heappush(self._queue, (self.time + max(0, wait), next(self._order), call, args))
+
+    def passes(self, source: str, target: str) -> bool:
+        return all(
+            self.cut.get(pair, 0) <= self.time for pair in ((source, target), (source, "*"), ("*", target))
+        )
+
+    def send(self, source: str, target: str, deliver: Callable[[], None]) -> None:
+        """One message: late, in order on its link, or lost."""
+        self.messages += 1
+        if not self.passes(source, target) or self.net.random() < 0.002:
+            return
+        wait = int(self.net.expovariate(1 / 1500)) + 200
+        at = max(self.time + wait, self._last.get((source, target), 0) + 1)
+        self._last[source, target] = at
+        process = self.keepers.get(target)
+
+        def arrive() -> None:
+            if self.passes(source, target):
+                (process.run if process is not None else _call)(deliver)
+
+        self.after(at - self.time, arrive)
+
+    def ask(self, source: str, keeper: str, ask: f.Ask, back: Callable[[object], None]) -> None:
+        """A member or an operator asks a keeper."""
+        life = self.keepers[keeper].life
+
+        def answer(found: object) -> None:
+            if self.keepers[keeper].life == life:
+                back(found)
+
+        self.send(source, keeper, lambda: self.keepers[keeper].ask(ask, answer))
+
+    # Executors and nodes.
+
+    def visit(self, node: VNode, name: str) -> None:
+        """A job goes to an executor; it takes its time, or is lost with it."""
+        wait = int(self.net.expovariate(1 / 800)) + 100
+        self.after(wait, self._arrive, node, name)
+
+    def _arrive(self, node: VNode, name: str) -> None:
+        box = self.executors[name]
+        self.visits.append(Visit(name, "", f"{node.who.life}", "job", self.time))
+        if not box.up:
+            node.run(node.ended, name)
+            return
+        box.jobs += 1
+        self.after(self.net.randrange(50, 400) * MS, self._leave, node, name)
+
+    def _leave(self, node: VNode, name: str) -> None:
+        box = self.executors[name]
+        box.jobs = max(0, box.jobs - 1)
+        node.run(node.ended, name)
+
+    def end_node(self, node: VNode) -> None:
+        """SIGTERM: it answers what it holds, says that it leaves, and ends."""
+        if node.alive and (node.paused or any(node.jobs.values())):
+            self.after(200 * MS, self.end_node, node)
+        elif node.alive:
+            node.kill()
+
+    def ready_at(self, number: int, unit: str, life: str, node: VNode) -> None:
+        self.stewards[number]._ready(unit, life, node)
+
+    # The run.
+
+    def run(self) -> Record:
+        """Play it to its end; what it left."""
+        self._plan()
+        self._compare()
+        while self._queue and self._queue[0][0] <= self.shape.length:
+            self.time, _, call, args = heapq.heappop(self._queue)
+            call(*args)
+        self._name_open()
+        places = {name: {"kind": "executor", "zone": f"z{n % self.shape.zones}"}
+                  for n, name in enumerate(self.executors)}  # fmt: skip
+        places |= {f"node-{n}": {"kind": "node", "zone": f"z{n % self.shape.zones}"}
+                   for n in range(self.shape.nodes)}  # fmt: skip
+        limits = tuple(LabLimit(one.kind, one.per, one.most, one.share, one.capacity_left)
+                       for one in self.shape.limits)  # fmt: skip
+        slots = dict.fromkeys(places, 2)
+        return Record(self.history.events, self.visits, limits, places, slots, None, COLD, self.found)
+
+    def _compare(self) -> None:
+        """Keepers that have applied as much hold the same, to the last byte."""
+        held: dict[int, tuple[str, bytes]] = {}
+        for keeper in self.keepers.values():
+            world = keeper.keeper.world
+            text = freeze(world)
+            name, other = held.setdefault(world.index, (keeper.name, text))
+            if other != text:
+                self.found.append(f"{self.time / S:.3f} s: {name} and {keeper.name} differ at {world.index}")
+        self.after(S, self._compare)
+
+    def _name_open(self) -> None:
+        """At the end the keepers name what is still out."""
+        worlds = [keeper.keeper.world for keeper in self.keepers.values()]
+        newest = max(worlds, key=lambda world: (world.generation, world.index))
+        for permit in newest.permits.values():
+            if permit.out:
+                self.history.tell("keepers", "named", permit.target, epoch=permit.epoch)
+
+    def _plan(self) -> None:
+        shape, dice = self.shape, self.dice
+        names = list(self.executors)
+        at = 4 * S
+        for number in range(shape.drains):
+            at += 0 if number % 3 == 1 else dice.randrange(2 * S)
+            self.after(at, self._drain, number, dice.choice(names))
+        for _ in range(shape.faults):
+            self.after(dice.randrange(3 * S, shape.length - 6 * S), self._fault, dice.choice(shape.kinds))
+
+    def _drain(self, number: int, target: str) -> None:
+        self.operators.append(Operator(self, number, target))
+
+    def leader(self) -> VKeeper:
+        """Who leads, or any."""
+        leading = [k for k in self.keepers.values() if k.alive and k.keeper.leads]
+        return leading[0] if leading else next(iter(self.keepers.values()))
+
+    def _some_keeper(self) -> VKeeper:
+        return self.leader() if self.dice.random() < 0.5 else self.dice.choice(list(self.keepers.values()))
+
+    def _fault(self, kind: str) -> None:
+        lasts = self.dice.randrange(300 * MS, 6 * S)
+        self.history.tell("lab", kind, number=lasts / S)
+        getattr(self, f"_{kind.replace('-', '_')}")(lasts)
+
+    def _kill(self, lasts: int) -> None:
+        keeper = self._some_keeper()
+        if keeper.alive:
+            keeper.kill()
+            self.after(lasts, keeper.start)
+
+    def _all_keepers(self, lasts: int) -> None:
+        for keeper in self.keepers.values():
+            if keeper.alive:
+                keeper.kill()
+                self.after(lasts + self.dice.randrange(S), keeper.start)
+
+    def _pause(self, lasts: int) -> None:
+        self._some_keeper().pause(lasts)
+
+    def _cut(self, lasts: int) -> None:
+        one, other = self._some_keeper().name, self.dice.choice(list(self.keepers))
+        self.cut[one, other] = self.cut[other, one] = self.time + lasts
+
+    def _one_way(self, lasts: int) -> None:
+        self.cut[self.dice.choice(list(self.keepers)), self._some_keeper().name] = self.time + lasts
+
+    def _isolate(self, lasts: int) -> None:
+        """One process reaches nobody, or hears nobody: a keeper, a node or a steward."""
+        names = [*self.keepers, *(s.name for s in self.stewards), *(s.unit for s in self.stewards)]
+        name, way = self.dice.choice(names), self.dice.randrange(3)
+        if way < 2:
+            self.cut[name, "*"] = self.time + lasts
+        if way > 0:
+            self.cut["*", name] = self.time + lasts
+
+    def _some_node(self) -> VNode | None:
+        nodes = [node for machine in self.machines for node in machine.nodes.values() if node.alive]
+        return self.dice.choice(nodes) if nodes else None
+
+    def _node_kill(self, lasts: int) -> None:
+        if (node := self._some_node()) is not None:
+            node.kill()
+
+    def _node_pause(self, lasts: int) -> None:
+        if (node := self._some_node()) is not None:
+            node.pause(lasts + (4 * S if self.dice.random() < 0.5 else 0))  # half of them beyond the lease
+
+    def _old_lease(self, lasts: int) -> None:
+        """A steward stands still beyond its lease."""
+        self.dice.choice(self.stewards).pause(4 * S + lasts)
+
+    def _mid_change(self, lasts: int) -> None:
+        self.mid_change.add(self.dice.randrange(len(self.stewards)))
+
+    def _trap(self, lasts: int) -> None:
+        self.trapped.add(self.dice.choice(self.stewards).name)
+
+    def _flicker(self, lasts: int) -> None:
+        """The leader dies, and the others are killed and at once started while they elect another."""
+        self._kill(lasts)
+        for keeper in self.keepers.values():
+            if keeper.alive:
+                self.after(self.dice.randrange(500 * MS, 1500 * MS), self._blink, keeper)
+
+    def _blink(self, keeper: VKeeper) -> None:
+        if keeper.alive:
+            keeper.kill()
+            keeper.start()
+
+    def _cut_node(self, lasts: int) -> None:
+        """A node reaches no keeper for long, and goes on to reach the executors."""
+        name = self.dice.choice(self.stewards).unit
+        self.cut[name, "*"] = self.cut["*", name] = self.time + lasts + 5 * S
+
+    def _sleeper(self, lasts: int) -> None:
+        """A node stands still till an executor is said to be drained without it."""
+        if (node := self._some_node()) is not None:
+            self.sleepers.append(node)
+            node.pause(20 * S)
+
+    def wake(self) -> None:
+        """Something was drained."""
+        for node in self.sleepers:
+            self.after(MS, node.go_on)
+        self.sleepers = []
+
+    def _steward_kill(self, lasts: int) -> None:
+        self.kill_steward(self.dice.randrange(len(self.stewards)), lasts)
+
+    def kill_steward(self, number: int, lasts: int) -> None:
+        """It dies and comes back; what it runs outlives it."""
+        steward = self.stewards[number]
+        if steward.alive:
+            steward.kill()
+            self.after(lasts, self._steward_start, number, steward.life)
+
+    def _steward_start(self, number: int, life: int) -> None:
+        self.stewards[number] = VSteward(self, number, hash_of(self.time, life) % 10**6)
+
+    def _executor(self, lasts: int) -> None:
+        name = self.dice.choice(list(self.executors))
+        box = self.executors[name]
+        if box.up:
+            box.up, box.jobs = False, 0
+            self.history.tell(name, "down", name, note="fault")
+            self.after(lasts, self._executor_up, name)
+
+    def _executor_up(self, name: str) -> None:
+        self.executors[name].up = True
+        self.history.tell(name, "up", name, note="fault")
+
+    def _crash(self, lasts: int) -> None:
+        """A keeper is killed the next time that it has something to sync."""
+        self._some_keeper().crash = True
+
+    def _snap(self, lasts: int) -> None:
+        """A keeper makes a snapshot, so that others may need it."""
+        keeper = self._some_keeper()
+        if keeper.alive and not keeper.paused and keeper.keeper.agree.applied > 1:
+            keeper.keeper._snap()
+            keeper._do(keeper.keeper._done(keeper.clock.now()))
+
+    def digest(self) -> str:
+        """Of the whole timeline: equal for equal seeds, whatever the machine's hashing."""
+        text = b"".join(msgspec.json.encode(event) for event in self.history.events)
+        text += repr([(visit.box, visit.id, visit.at) for visit in self.visits]).encode()
+        return hashlib.blake2b(text + str(self.messages).encode(), digest_size=16).hexdigest()
+
+
+def _call(call: Callable[[], None]) -> None:
+    call()
+
+
+class Driver:
+    """Plans and starts a release, and watches it."""
+
+    def __init__(self, world: Virtual, version: str) -> None:
+        self.world, self.version = world, version
+        self.dice = random.Random(f"{world.seed}/release")
+        self.number = 0
+        self.step = "plan"
+        self.state = ""
+        world.after(5 * S, self._go)
+
+    def _go(self) -> None:
+        keeper = self.dice.choice(list(self.world.keepers))
+        units = [f"node-{n}" for n in range(self.world.shape.nodes)]
+        plan = Plan(self.version, ((units[0],), tuple(units[1:])), 2, 0, 3 * S, 4 * S, 20)
+        asks = {
+            "plan": lambda: f.Do(commands.NewRelease(0, "driver", "1", plan)),
+            "start": lambda: f.Do(commands.ActRelease(0, "driver", "2", self.number, "start")),
+            "watch": lambda: f.Look("releases"),
+            "back": lambda: f.Do(commands.ActRelease(0, "driver", "3", self.number, "back")),
+        }  # fmt: skip
+        step = self.step
+
+        def back(answer: object) -> None:
+            self.world.send(keeper, "driver", lambda: self._heard(step, answer))
+
+        self.world.ask("driver", keeper, asks[step](), back)
+        self.world.after(500 * MS, self._go)
+
+    def _heard(self, step: str, answer: object) -> None:
+        if step != self.step:
+            return
+        if step == "plan" and isinstance(answer, f.Did) and answer.ok:
+            self.number, self.step = answer.release, "start"
+        elif step == "start" and isinstance(answer, f.Did):
+            self.step = "watch"
+        elif step == "watch" and isinstance(answer, f.Shown):
+            self._saw(msgspec.json.decode(answer.text))
+        elif step == "back" and isinstance(answer, f.Did):
+            self.step = "watch"
+
+    def _saw(self, rows: list[dict]) -> None:
+        row = next((row for row in rows if row["id"] == self.number), None)
+        if row is None:
+            return
+        if row["state"] != self.state:
+            self.state = row["state"]
+            self.world.history.tell("driver", f"release {self.state}", note="; ".join(row["why"][-1:]))
+        if self.state == "halted" or (self.state == "done" and self.world.seed % 2):
+            self.step = "back"
--- /dev/null
+++ b/cedarmill/lab/fleet/virtual_log.py
@@ -0,0 +1,252 @@
+"""The agreed log alone, under many more faults a second than a fleet would meet: random orders of everything.
+
+Any message on its way may be the next to arrive, or be lost; any keeper may be the next whose time passes,
+that syncs, that dies or comes back. Its laws: one leader a term, what is agreed stays agreed and is the
+same for all, and what was agreed when a read was asked is seen by it.
+"""
+
+import random
+
+from cedarmill.fleet.agree import words as w
+from cedarmill.fleet.agree.core import Agree, Saved, Timing
+from cedarmill.lab.fleet.virtual import Disk
+
+STEP = 3_000  # us that pass at the most between two events
+CRASH, LOSE, CUT, SNAP = 0.006, 0.02, 0.004, 0.002  # chances at each event
+
+
+class Node:
+    """A keeper: its core, what is on its disk, and what is not yet."""
+
+    def __init__(self, run: "LogRun", name: str, saved: Saved) -> None:
+        self.run, self.name, self.disk = run, name, Disk(saved)
+        self.starts = 0
+        self.start()
+
+    def start(self) -> None:
+        self.starts += 1
+        self.alive = True
+        self.after: list[w.Send] = []  # to be sent when that is synced
+        self.skew = self.run.dice.randrange(50_000)
+        seed = self.run.seed * 100 + self.starts
+        self.core = Agree(self.name, self.disk.load(), self.now(), seed, self.run.timing)
+
+    def now(self) -> int:
+        return self.run.time + self.skew
+
+    def step(self, event: w.Event) -> None:
+        """Let the core take an event, and take its actions."""
+        for action in self.core.step(self.now(), event):
+            self._take(action)
+
+    def _take(self, action: w.Action) -> None:
+        run = self.run
+        if isinstance(action, w.Save | w.Put):
+            self.disk.save(action)
+        elif isinstance(action, w.Send):
+            self.promise(action)
+        elif isinstance(action, w.Install):
+            self.disk.put_snapshot(action.snapshot, list(self.core.log.entries))
+        elif isinstance(action, w.Commit):
+            for entry in action.entries:
+                run.agreed(self.name, entry)
+        elif isinstance(action, w.Role) and action.leads:
+            run.leads(self.name, action.term)
+        elif isinstance(action, w.Confirmed):
+            run.confirmed(action)
+
+    def promise(self, action: w.Send) -> None:
+        """It leaves when what it rests on is on the disk."""
+        self.after.append(action)
+
+    def sync(self) -> None:
+        """What waits is on the disk; then what was promised by it leaves."""
+        puts = [action.entries[-1].index for action in self.disk.waiting if isinstance(action, w.Put)]
+        self.disk.sync()
+        sends, self.after = self.after, []
+        for send in sends:
+            self.run.send(self.name, send)
+        if puts:
+            self.step(w.Synced(puts[-1]))
+
+    def kill(self) -> None:
+        self.alive, self.after = False, []
+
+
+class LogRun:
+    """One run of some thousand events."""
+
+    def __init__(self, seed: int, keepers: int = 3, events: int = 8000, churn: bool = False) -> None:
+        """`churn`: each new leader reaches few others, and dies soon."""
+        self.seed, self.events = seed, events
+        self.dice = random.Random(f"log/{seed}")
+        self.timing = Timing(30_000, 150_000)
+        self.time = 0
+        self.found: list[str] = []
+        self.by_index: dict[int, tuple[int, bytes]] = {}
+        self.highest = 0  # that any keeper has called agreed
+        self.by_term: dict[int, str] = {}
+        self.reads: dict[int, int] = {}
+        self.churn = churn
+        self.doomed: tuple[str, int] | None = None  # a leader, and the events that it still lives
+        self.on_the_way: list[tuple[str, str, w.Message]] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.tokens = 0
+        names = [f"k{n}" for n in range(keepers)]
+        config = {name: w.Peer("") for name in names}
+        first = w.Snapshot(1, 1, config, b"")
+        self.nodes = {name: Node(self, name, Saved(1, "", first)) for name in names}
+
+    def agreed(self, name: str, entry: w.Entry) -> None:
+        """A keeper calls an entry agreed."""
+        known = self.by_index.setdefault(entry.index, (entry.term, entry.data))
+        if known != (entry.term, entry.data):
+            self.found.append(f"{name} agrees on another entry {entry.index} than was agreed")
+        self.highest = max(self.highest, entry.index)
+
+    def leads(self, name: str, term: int) -> None:
+        if self.by_term.setdefault(term, name) != name:
+            self.found.append(f"{name} and {self.by_term[term]} both lead in term {term}")
+        if self.churn:
+            others = [other for other in self.nodes if other != name]
+            self.cuts = {
+                (name, other) for other in self.dice.sample(others, self.dice.randint(1, len(others)))
+            }
+            self.doomed = name, self.dice.randrange(10, 120)
+
+    def confirmed(self, action: w.Confirmed) -> None:
+        asked = self.reads.pop(action.token, 0)
+        if action.index < asked:
+            self.found.append(f"a read sees {action.index}, and {asked} was agreed when it was asked")
+
+    def send(self, source: str, send: w.Send) -> None:
+        if (source, send.target) not in self.cuts and send.target in self.nodes:
+            self.on_the_way.append((source, send.target, send.message))
+
+    def run(self) -> list[str]:
+        """Play it; what was found wrong."""
+        for _ in range(self.events):
+            self.time += self.dice.randrange(STEP)
+            self._event()
+            if self.found:
+                break
+        return self.found
+
+    def _event(self) -> None:
+        dice = self.dice
+        self._faults()
+        node = self.nodes[dice.choice(list(self.nodes))]
+        roll = dice.random()
+        if roll < 0.6 and self.on_the_way:
+            self._arrive()
+        elif not node.alive:
+            if dice.random() < 0.2:
+                node.start()
+        elif roll < 0.75:
+            node.step(w.Passed())
+        elif roll < 0.9:
+            node.sync()
+        elif roll < 0.97:
+            self.tokens += 1
+            node.step(w.Propose(b"%d" % self.tokens, self.tokens))
+        else:
+            self.tokens += 1
+            self.reads[self.tokens] = self.highest
+            node.step(w.Read(self.tokens))
+
+    def _arrive(self) -> None:
+        """Any message may be the next, but those of one link keep their order."""
+        source, target, message = self.on_the_way[self.dice.randrange(len(self.on_the_way))]
+        first = next(n for n, one in enumerate(self.on_the_way) if one[:2] == (source, target))
+        source, target, message = self.on_the_way.pop(first)
+        node = self.nodes[target]
+        if node.alive and self.dice.random() >= LOSE and (source, target) not in self.cuts:
+            node.step(w.Heard(source, message))
+
+    def _faults(self) -> None:
+        dice = self.dice
+        if self.doomed is not None:
+            name, left = self.doomed
+            self.doomed = (name, left - 1) if left else None
+            if not left:
+                self.nodes[name].kill()
+                self.cuts.clear()
+        if dice.random() < CRASH:
+            node = self.nodes[dice.choice(list(self.nodes))]
+            node.kill()
+            if dice.random() < 0.5:
+                node.start()
+        if dice.random() < CUT:
+            a, b = dice.sample(list(self.nodes), 2)
+            self.cuts.add((a, b))
+        if self.cuts and dice.random() < 3 * CUT:
+            self.cuts.clear()
+        if dice.random() < SNAP:
+            leader = next((n for n in self.nodes.values() if n.alive and n.core.part.value == "leader"), None)
+            if leader is not None and leader.core.applied > leader.core.log.snapshot.index:
+                index = leader.core.applied
+                snapshot = w.Snapshot(index, leader.core.log.term(index), leader.core.config, b"%d" % index)
+                leader.sync()
+                if leader.core.config_index <= index:
+                    leader.step(w.Kept(snapshot))
+                    leader.disk.put_snapshot(snapshot, list(leader.core.log.entries))
+
+
+def figure_eight() -> list[str]:
+    """The schedule of figure 8 of the Raft paper, step by step; what was found wrong.
+
+    An entry of an old term comes to stand with a majority, and is replaced all the same: who calls it
+    agreed by count alone is wrong. Chance hardly finds it, since a new leader's own entry follows at once.
+    """
+    run = LogRun(8, 5)
+    k0, k1, k2, k3, k4 = (run.nodes[name] for name in sorted(run.nodes))
+
+    def settle(*there: Node, rounds: int = 60, upto: int = 1 << 30) -> None:
+        """Messages among these pass, all others are lost, and entries beyond an index too."""
+        names = {node.name for node in there}
+        for _ in range(rounds):
+            for node in there:
+                node.sync()
+            for source, target, message in run.on_the_way[:]:
+                run.on_the_way.remove((source, target, message))
+                if isinstance(message, w.Append) and message.entries and message.entries[-1].index > upto:
+                    continue
+                if source in names and target in names:
+                    run.nodes[target].step(w.Heard(source, message))
+
+    def elect(node: Node, *voters: Node) -> None:
+        for _ in range(40):
+            run.time += 40_000
+            if run.time >= node.core.due - node.skew:
+                node.step(w.Passed())
+            settle(node, *voters, rounds=4, upto=0)
+            if node.core.part.value == "leader":
+                return
+
+    elect(k0, k1, k2)
+    settle(k0, k1, k2, k3, k4)
+    k0.step(w.Propose(b"old", 1))
+    old = k0.core.log.last
+    settle(k0, k1)  # stands with two of five
+    k0.kill()
+    run.time += 400_000
+    elect(k4, k2, k3)
+    k4.sync()  # its own entry stands with it alone
+    k4.kill()
+    run.on_the_way.clear()
+    run.time += 400_000
+    k0.start()
+    elect(k0, k1, k2)
+    for _ in range(4):
+        run.time += 40_000
+        k0.step(w.Passed())
+        settle(k0, k1, k2, upto=old)  # the old entry comes to a third, nothing newer does
+    k0.kill()
+    run.on_the_way.clear()
+    run.time += 400_000
+    k4.start()
+    elect(k4, k2, k3)
+    run.time += 40_000
+    k4.step(w.Passed())
+    settle(k4, k2, k3)
+    return run.found
--- /dev/null
+++ b/cedarmill/store/files.py
@@ -0,0 +1,80 @@
+"""Files as the store uses them: the one layer under which faults are put in. Raises OSError throughout."""
+
+import os
+
+
+class File:
+    """One file that grows at its end."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self._file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+
+    def read(self) -> bytes:
+        """All of it."""
+        found, at = bytearray(), 0
+        while piece := os.pread(self._file, 1 << 20, at):
+            found += piece
+            at += len(piece)
+        return bytes(found)
+
+    def write(self, text: bytes) -> None:
+        """Append; it is on the disk after `sync`."""
+        view = memoryview(text)
+        while view:
+            view = view[os.write(self._file, view) :]
+
+    def sync(self) -> None:
+        os.fdatasync(self._file)
+
+    def cut(self, size: int) -> None:
+        """Drop what is behind."""
+        os.ftruncate(self._file, size)
+        os.fsync(self._file)
+
+    def close(self) -> None:
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
+
+class Files:
+    """A folder."""
+
+    file = File
+
+    def __init__(self, folder: str) -> None:
+        self.folder = folder
+        os.makedirs(folder, mode=0o700, exist_ok=True)
+
+    def path(self, name: str) -> str:
+        return os.path.join(self.folder, name)
+
+    def open(self, name: str) -> File:
+        """A file to append to; made if it is not there."""
+        return self.file(self.path(name))
+
+    def exists(self, name: str) -> bool:
+        return os.path.exists(self.path(name))
+
+    def replace(self, name: str, text: bytes) -> None:
+        """Write a file whole, or leave the old one."""
+        new = self.path(f"{name}.new")
+        if os.path.exists(new):
+            os.remove(new)
+        file = self.file(new)
+        try:
+            file.write(text)
+            file.sync()
+        finally:
+            file.close()
+        os.replace(new, self.path(name))
+        self.sync_folder()
+
+    def sync_folder(self) -> None:
+        """What was made or renamed is on the disk too."""
+        folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
--- /dev/null
+++ b/cedarmill/store/keep.py
@@ -0,0 +1,225 @@
+"""A keeper's store: the log file for what is promised, LMDB for snapshots; one sync for all of a turn.
+
+Records: the disk's identity and how often it was started on, the term and vote, entries, a cut by a
+snapshot. A snapshot goes into LMDB first, whole and with its checksum; then the log is rewritten without
+what it holds. A crash in between leaves both, and the newer snapshot wins.
+"""
+
+import os
+import secrets
+from typing import NamedTuple
+
+import lmdb
+import msgspec
+import xxhash
+
+from cedarmill.fleet.agree import words as w
+from cedarmill.fleet.agree.core import Saved
+from cedarmill.store.files import Files
+from cedarmill.store.log import DiskLog, StoreError
+
+FORMAT = 1
+MAP_BYTES = 1 << 28  # of address space for LMDB; the file grows as needed
+SNAPSHOTS = 2  # that are held
+
+
+class Identity(msgspec.Struct, tag="identity", array_like=True):
+    """Of the disk: made when it was formatted; `boot` grows with each start."""
+
+    format: int
+    cluster: str
+    name: str
+    disk: str
+    boot: int
+
+
+class Term(msgspec.Struct, tag="term", array_like=True):
+    term: int
+    vote: str
+
+
+class Entries(msgspec.Struct, tag="entries", array_like=True):
+    """What stood in the log from the first one's index on is replaced."""
+
+    entries: tuple[w.Entry, ...]
+
+
+class Met(msgspec.Struct, tag="met", array_like=True):
+    """Another keeper's disk, and the highest boot seen of it."""
+
+    disk: str
+    boot: int
+
+
+Record = Identity | Term | Entries | Met
+_DECODE = msgspec.msgpack.Decoder(Record)
+_SNAPSHOT = msgspec.msgpack.Decoder(w.Snapshot)
+_EMPTY = w.Snapshot(0, 0, {}, b"")
+
+
+class Told(NamedTuple):
+    """For the operator: what recovery found."""
+
+    torn: int
+    damaged: bool
+
+
+class Snapshots:
+    """Snapshots in LMDB, by index, each with its checksum."""
+
+    def __init__(self, files: Files) -> None:
+        self.files = files
+        self._env = lmdb.open(files.path("snapshots"), map_size=MAP_BYTES, subdir=True, max_dbs=0)
+
+    def put(self, snapshot: w.Snapshot) -> None:
+        """Keep it, and drop all but the newest; raises OSError."""
+        text = msgspec.msgpack.encode(snapshot)
+        whole = xxhash.xxh3_64_digest(text) + text
+        try:
+            with self._env.begin(write=True) as change:
+                change.put(b"%020d" % snapshot.index, whole)
+                keys = [bytes(key) for key, _ in change.cursor()]
+                for key in keys[:-SNAPSHOTS]:
+                    change.delete(key)
+        except lmdb.Error as error:
+            raise OSError(f"{self.files.path('snapshots')}: {error}") from None
+
+    def newest(self) -> w.Snapshot:
+        """The newest that is whole; an empty one where there is none. Raises StoreError where all are
+        damaged.
+        """
+        found = 0
+        with self._env.begin() as look:
+            cursor = look.cursor()
+            for _, text in reversed(list(cursor)):
+                found += 1
+                if xxhash.xxh3_64_digest(text[8:]) == text[:8]:
+                    return _SNAPSHOT.decode(text[8:])
+        if found:
+            raise StoreError(f"{self.files.path('snapshots')}: {found} snapshots, all damaged")
+        return _EMPTY
+
+    def close(self) -> None:
+        self._env.close()
+
+
+class Store:
+    """All that a keeper keeps."""
+
+    def __init__(self, files: Files, cluster: str, name: str, disk: str = "") -> None:
+        """Open, recover, and count this start; a disk that is formatted now gets the name `disk` or one by
+        chance.
+
+        Raises StoreError or OSError.
+        """
+        self.files, self.snapshots = files, Snapshots(files)
+        self.log = DiskLog(files)
+        self.met: dict[str, int] = {}
+        self.identity: Identity | None = None
+        snapshot = self.snapshots.newest()
+        term, vote, entries = 0, "", []
+        for text in self.log.recovered.records:
+            record = self._decode(text)
+            if isinstance(record, Identity):
+                self.identity = record
+            elif isinstance(record, Term):
+                term, vote = record.term, record.vote
+            elif isinstance(record, Met):
+                self.met[record.disk] = max(record.boot, self.met.get(record.disk, 0))
+            else:
+                self._lay(entries, record.entries)
+        self.told = Told(self.log.recovered.torn, self.log.recovered.damaged)
+        self.fresh = self.identity is None
+        self._begin(cluster, name, disk)
+        rest = [entry for entry in entries if entry.index > snapshot.index]
+        if rest and rest[0].index != snapshot.index + 1:
+            raise StoreError(
+                f"{files.path('log')}: begins at {rest[0].index}, the snapshot ends at {snapshot.index}"
+            )
+        doubtful = self.told.damaged or (self.fresh and not snapshot.index)
+        if snapshot.term > term:
+            term, vote = snapshot.term, ""
+        self.saved = Saved(term, vote, snapshot, tuple(rest), doubtful)
+        self._term = term, vote
+
+    def _decode(self, text: bytes) -> Record:
+        try:
+            return _DECODE.decode(text)
+        except msgspec.MsgspecError as error:
+            raise StoreError(f"{self.files.path('log')}: a record of another format: {error}") from None
+
+    @staticmethod
+    def _lay(entries: list[w.Entry], new: tuple[w.Entry, ...]) -> None:
+        while entries and entries[-1].index >= new[0].index:
+            entries.pop()
+        entries.extend(new)
+
+    def _begin(self, cluster: str, name: str, disk: str) -> None:
+        before = self.identity
+        if before is not None and (before.cluster, before.name) != (cluster, name):
+            raise StoreError(f"{self.files.folder}: of keeper {before.name} of cluster {before.cluster}")
+        if before is not None and before.format > FORMAT:
+            raise StoreError(
+                f"{self.files.folder}: format {before.format}, this program reads up to {FORMAT}"
+            )
+        disk = before.disk if before is not None else disk or secrets.token_hex(6)
+        self.identity = Identity(FORMAT, cluster, name, disk, before.boot + 1 if before is not None else 1)
+        self._add(self.identity)
+        self.log.sync()
+
+    def _add(self, record: Record) -> None:
+        self.log.add(msgspec.msgpack.encode(record))
+
+    def save(self, action: w.Save | w.Put) -> None:
+        """Take what is to be kept; it is after `sync`. Raises OSError."""
+        if isinstance(action, w.Save):
+            self._term = action.term, action.vote
+            self._add(Term(action.term, action.vote))
+        else:
+            self._add(Entries(action.entries))
+
+    def meet(self, disk: str, boot: int) -> bool:
+        """Another keeper's disk says hello; False: it was seen with a later start, so this is an old copy."""
+        known = self.met.get(disk, 0)
+        if boot < known:
+            return False
+        if boot > known:
+            self.met[disk] = boot
+            self._add(Met(disk, boot))
+        return True
+
+    def sync(self) -> bool:
+        """All that was taken is on the disk; raises OSError, and nothing more may be promised then."""
+        return self.log.sync()
+
+    def put_snapshot(self, snapshot: w.Snapshot, entries: list[w.Entry]) -> None:
+        """Keep a snapshot, then the log without what it holds; raises OSError."""
+        self.snapshots.put(snapshot)
+        records: list[Record] = [self.identity, Term(*self._term)]
+        records += [Met(disk, boot) for disk, boot in self.met.items()]
+        if entries:
+            records.append(Entries(tuple(entries)))
+        self.log.rewrite([msgspec.msgpack.encode(record) for record in records])
+
+    def close(self) -> None:
+        self.log.close()
+        self.snapshots.close()
+
+
+def restore(text: bytes) -> w.Snapshot:
+    """A snapshot from a file written by `backup`; raises StoreError."""
+    if len(text) < 8 or xxhash.xxh3_64_digest(text[8:]) != text[:8]:
+        raise StoreError("torn or damaged: the checksum does not fit")
+    return _SNAPSHOT.decode(text[8:])
+
+
+def backup(snapshot: w.Snapshot) -> bytes:
+    """A snapshot as a file."""
+    text = msgspec.msgpack.encode(snapshot)
+    return xxhash.xxh3_64_digest(text) + text
+
+
+def write_file(path: str, text: bytes) -> None:
+    """Whole or not at all; raises OSError."""
+    folder, name = os.path.split(os.path.abspath(path))
+    Files(folder).replace(name, text)
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -191,5 +191,5 @@
             found = write(told, Path(folder))
             self.assertTrue((Path(folder) / "verdict.json").stat().st_size)
         broken = [law for law, texts in found.laws.items() if texts]
-        self.assertEqual(broken, ["never too many out"])
+        self.assertEqual(broken, ["never too many out", "grants fit one order"])
         self.assertGreater(found.most_out_by_plan, 3)
