--- a/cedarmill/cli/__init__.py
+++ b/cedarmill/cli/__init__.py
@@ -2,7 +2,7 @@
 
 import click
 
-from cedarmill.cli import conf, health, lab, node, sim
+from cedarmill.cli import conf, fleet, health, keeper, lab, node, sim
 
 EXIT_CODES = "Exit codes: 0 done; 1 a run found something wrong; 2 bad input or use, said in one line."
 
@@ -35,5 +35,14 @@
     """
 
 
-for command in (node.node, sim.sim, conf.conf, health.health, lab.lab):
+for command in (
+    node.node,
+    keeper.keeper,
+    keeper.steward,
+    fleet.fleet,
+    sim.sim,
+    conf.conf,
+    health.health,
+    lab.lab,
+):
     main.add_command(command)
--- a/cedarmill/conf/settings.py
+++ b/cedarmill/conf/settings.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from cedarmill.conf.document import ConfError, duration, load, microseconds, share
-from cedarmill.values import DeadlineOptions, HealthOptions, KindOptions, Options
+from cedarmill.values import DeadlineOptions, FleetOptions, HealthOptions, KindOptions, Options
 
 
 class Held(NamedTuple):
@@ -58,6 +58,35 @@
     return True
 
 
+def address(path, element, attribute: str) -> str:
+    """A numeric address of an element: nothing of ours looks names up; raises ConfError."""
+    text = element.get(attribute)
+    host, _, port = text.rpartition(":")
+    if not (_is_address(host.strip("[]")) and int(port) < 65536):
+        where = f"{path}:{element.sourceline}"
+        raise ConfError(f"{where}: <{element.tag}> {attribute}: {text!r} is not ADDRESS:PORT")
+    return text
+
+
+def named_addresses(path, elements) -> dict[str, str]:
+    """Elements with a name and an address each; raises ConfError where a name comes twice."""
+    found: dict[str, str] = {}
+    for element in elements:
+        if element.get("name") in found:
+            where = f"{path}:{element.sourceline}"
+            raise ConfError(f"{where}: <{element.tag}> name: {element.get('name')!r} is named twice")
+        found[element.get("name")] = address(path, element, "address")
+    return found
+
+
+def fleet_part(path, element) -> FleetOptions:
+    """A `<fleet>` element; raises ConfError."""
+    keepers = named_addresses(path, element.findall("keeper"))
+    listen = address(path, element, "listen") if element.get("listen") else ""
+    return FleetOptions(element.get("cluster"), keepers, listen, element.get("cut-off", "serve"),
+                        element.get("start", "wait"))  # fmt: skip
+
+
 class Settings:
     """What one file sets, on top of the defaults; `held` lists all of it."""
 
@@ -65,7 +94,9 @@
         self.path = path
         self.held: list[Held] = []
         self._root = load(path, "cedarmill") if path is not None else None
-        self.options = Options(self._deadlines(), self._health(), self._kinds(), self._ledger())
+        self.options = Options(
+            self._deadlines(), self._health(), self._kinds(), self._ledger(), self._fleet()
+        )
 
     def _find(self, place: str):
         return None if self._root is None else self._root.find(place)
@@ -126,6 +157,17 @@
                 raise ConfError(f"{where}: <{name}> listen: {found[name]!r} is not ADDRESS:PORT")
         return HealthOptions(**found)
 
+    def _fleet(self) -> FleetOptions | None:
+        element = self._find("fleet")
+        if element is None:
+            self._hold("fleet", "off", None)
+            return None
+        found = fleet_part(self.path, element)
+        for name in ("cluster", "listen", "cut_off", "start"):
+            self._hold(f"fleet.{name.replace('_', '-')}", getattr(found, name), element)
+        self._hold("fleet.keeper", ", ".join(sorted(found.keepers)), element)
+        return found
+
     def _ledger(self) -> int:
         place = _Place("ledger", "every", microseconds, duration)
         every = self._value(place, Options().ledger_every_us)
--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -103,6 +103,9 @@
         self.reqs: dict[int, Req] = {}
         self.owed = 0  # reqs without their final answer
         self.listed_ready: set[int] = set()
+        # whether anything may be sent now, where a fleet says
+        self.fence: Callable[[int], bool] | None = None
+        self.told: Callable[[str, bool], None] | None = None  # hears of each final answer: which, and if late
         self._count = 0
         self._events: deque[tuple[api.Event, Req | None]] = deque()
         self._busy = False
@@ -211,12 +214,18 @@
         req = attempt.req
         if attempt.outcome is not None or not self.budget.may_start(now, req.claim):
             return False
+        if self.fence is not None and not self.fence(now):
+            return False
         if attempt.worker not in self.listed_ready:  # drains or is gone since the brain chose it
             return False
         ran = [a for a in req.attempts if a is not attempt and a.outcome not in api.NEVER_RAN]
         guarded = req.spec.effect == api.Effect.KEYED
         return not guarded or all(now < a.sent_at + req.spec.repeat_window_us for a in ran)
 
+    def busy(self) -> set[int]:
+        """Backends with attempts that have not ended."""
+        return {a.worker for req in self.reqs.values() for a in req.attempts if a.outcome is None}
+
     def may_probe(self, probe: Probe) -> bool:
         """Whether a probe may still be written: not for a client's sake alone that has left."""
         return probe.req is None or probe.req.claim.state is not budgets.State.LEFT
@@ -327,6 +336,8 @@
             return
         self.budget.step(now, budgets.Answered(req.claim))
         self._close(req)
+        if self.told is not None:
+            self.told(kind, now > req.due - req.spec.deadline_us + req.spec.aim_us)
         try:
             getattr(req.client, kind)(*details)
         except Exception:
--- a/cedarmill/fleet/agree/words.py
+++ b/cedarmill/fleet/agree/words.py
@@ -40,7 +40,7 @@
 # What keepers send each other. Every message names its term; `round` counts a leader's heartbeats.
 
 
-class Vote(msgspec.Struct, tag="vote", array_like=True, frozen=True):
+class Vote(msgspec.Struct, tag="vote", frozen=True):
     """Asks for a vote; `pre`: would you, if I asked? `forced`: the leader itself hands over."""
 
     term: int
@@ -50,13 +50,13 @@
     forced: bool = False
 
 
-class Voted(msgspec.Struct, tag="voted", array_like=True, frozen=True):
+class Voted(msgspec.Struct, tag="voted", frozen=True):
     term: int
     granted: bool
     pre: bool
 
 
-class Append(msgspec.Struct, tag="append", array_like=True, frozen=True):
+class Append(msgspec.Struct, tag="append", frozen=True):
     """Entries that follow `prev`, none for a heartbeat, and what is agreed so far."""
 
     term: int
@@ -67,7 +67,7 @@
     round: int
 
 
-class Appended(msgspec.Struct, tag="appended", array_like=True, frozen=True):
+class Appended(msgspec.Struct, tag="appended", frozen=True):
     """`index`: the last that matches the leader's log if `ok`, else the last that may."""
 
     term: int
@@ -76,7 +76,7 @@
     round: int
 
 
-class Part(msgspec.Struct, tag="part", array_like=True, frozen=True):
+class Part(msgspec.Struct, tag="part", frozen=True):
     """A piece of a snapshot, from `offset` on."""
 
     term: int
@@ -89,7 +89,7 @@
     round: int
 
 
-class Took(msgspec.Struct, tag="took", array_like=True, frozen=True):
+class Took(msgspec.Struct, tag="took", frozen=True):
     """How much of the snapshot has come."""
 
     term: int
@@ -98,7 +98,7 @@
     round: int
 
 
-class Lead(msgspec.Struct, tag="lead", array_like=True, frozen=True):
+class Lead(msgspec.Struct, tag="lead", frozen=True):
     """The leader hands over: stand for election now."""
 
     term: int
--- a/cedarmill/fleet/keeper.py
+++ b/cedarmill/fleet/keeper.py
@@ -94,6 +94,12 @@
             del self._relays[number]
         return self._done(now)
 
+    def hand_over(self, now: int) -> list:
+        """This keeper is about to end: let another one lead."""
+        self.actions = []
+        self._agree(now, w.HandOver())
+        return self._done(now)
+
     def synced(self, now: int, index: int) -> list:
         """All that was to be kept up to that index is on the disk."""
         self.actions = []
--- a/cedarmill/fleet/views.py
+++ b/cedarmill/fleet/views.py
@@ -6,8 +6,9 @@
 
 from cedarmill.fleet import permits, release
 from cedarmill.fleet import words as f
+from cedarmill.fleet.agree.words import Snapshot
 from cedarmill.fleet.commands import ActRelease, AnyRequest, NewRelease
-from cedarmill.fleet.world import Done, Member, Release, World
+from cedarmill.fleet.world import Done, Member, Release, World, freeze
 
 if TYPE_CHECKING:
     from cedarmill.fleet.keeper import Keeper
@@ -116,5 +117,9 @@
         "would": lambda: _would(world, ask),
         "world": lambda: world,
     }  # fmt: skip
+    if ask.what == "backup":
+        agree = keeper.agree
+        snapshot = Snapshot(agree.applied, agree.log.term(agree.applied), agree.config, freeze(world))
+        return msgspec.msgpack.encode(snapshot)
     part = parts.get(ask.what)
     return msgspec.json.encode(part() if part is not None else {"error": f"no part {ask.what!r}"})
--- a/cedarmill/lab/director.py
+++ b/cedarmill/lab/director.py
@@ -88,6 +88,14 @@
         self.entries[name] = {"name": name, "address": address, "zone": zone, "type": kind, "group": 0,
                               "status": "SERVING", "weight": 1.0, "since_ms": 0}  # fmt: skip
 
+    def restarted(self, name: str, since_ms: int) -> None:
+        """Tell every watch that a box is a new process since then (Unix ms)."""
+        self.index += 1
+        self.entries[name]["since_ms"] = since_ms
+        news = {"index": self.index, "snapshot": False, "endpoints": [self.entries[name]]}
+        for wire in self.watches:
+            wire.line(news)
+
     def drain(self, name: str) -> None:
         """Tell every watch that a box drains."""
         self.index += 1
--- /dev/null
+++ b/cedarmill/lab/fleet/disks.py
@@ -0,0 +1,77 @@
+"""Faults of a keeper's disk, put in under the store: full, a failed sync, a torn tail, lost writes, a
+flipped bit.
+
+The lab runs a keeper by this module instead of by the command; a word in a file says what befalls the next
+write or sync. What is not synced is held back in the process, so that a kill loses it, as a power cut would.
+"""
+
+import errno
+import os
+import signal
+import sys
+from pathlib import Path
+
+from cedarmill.store.files import File, Files
+
+KINDS = ("full", "fsync", "torn", "lost", "flip")
+
+
+class FaultyFile(File):
+    """A file on a disk that may fail."""
+
+    control: Path
+
+    def __init__(self, path: str) -> None:
+        super().__init__(path)
+        self.waiting = b""
+
+    def _word(self) -> str:
+        try:
+            return self.control.read_text().strip()
+        except OSError:
+            return ""
+
+    def write(self, text: bytes) -> None:
+        if self._word() == "full":
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC), self.path)
+        self.waiting += text
+
+    def sync(self) -> None:
+        word = self._word()
+        if word == "fsync":
+            raise OSError(errno.EIO, os.strerror(errno.EIO), self.path)
+        if word in ("torn", "lost") and self.waiting:
+            self.control.unlink()
+            if word == "torn":
+                super().write(self.waiting[: len(self.waiting) // 2])
+            os.kill(os.getpid(), signal.SIGKILL)
+        waiting, self.waiting = self.waiting, b""
+        super().write(waiting)
+        super().sync()
+
+
+class FaultyFiles(Files):
+    """A folder on such a disk."""
+
+    file = FaultyFile
+
+
+def flip(path: Path, back: int) -> None:
+    """Flip a bit of a file, so many bytes before its end; raises OSError."""
+    text = bytearray(path.read_bytes())
+    text[max(0, len(text) - 1 - back)] ^= 1
+    path.write_bytes(bytes(text))
+
+
+def main(conf: str, control: str) -> int:
+    """Run a keeper on a disk whose faults the control file names; its exit code."""
+    from cedarmill.conf.fleet import keeper
+    from cedarmill.net.keeper import main as run
+
+    options = keeper(conf)
+    FaultyFile.control = Path(control)
+    return run(options, "json", FaultyFiles(options.data))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1], sys.argv[2]))
--- a/cedarmill/lab/fleet/executors.py
+++ b/cedarmill/lab/fleet/executors.py
@@ -1,6 +1,7 @@
 """Emulated executors that can be stopped and started anew, cold, with a history of their own."""
 
 import asyncio
+from collections.abc import Callable
 
 from cedarmill.lab.boxes import Box, BoxWire
 from cedarmill.lab.fleet.history import History
@@ -14,6 +15,7 @@
     """A box under one name and address over several lives."""
 
     history: History
+    on_up: Callable[[str], None] = staticmethod(lambda name: None)  # told of each new life
     planned = False  # whether its being down was meant
     alive = True
     port = 0
@@ -33,9 +35,10 @@
         if not self.alive:
             return 0
         self.alive, self.planned = False, planned
-        lost = [*self.running, *self.waiting]
+        held = [*self.running, *self.waiting]
+        lost = [job for job in held if job.wire.job is job]  # the others run on for nobody
         self._advance()
-        for job in lost:
+        for job in held:
             self._end(job, "lost")
             job.wire.job = None
         self.running.clear()
@@ -55,6 +58,7 @@
         self.faults.clear()
         self._counted = self.clock()
         self.history.tell(self.name, "up", self.name, note="planned" if self.planned else "fault")
+        self.on_up(self.name)
         self._warm(0)
 
     def _warm(self, step: int) -> None:
@@ -70,5 +74,5 @@
 
     @property
     def held(self) -> int:
-        """Jobs that it has."""
-        return len(self.running) + len(self.waiting)
+        """Jobs that it has and somebody waits for."""
+        return sum(job.wire.job is job for job in (*self.running, *self.waiting))
--- a/cedarmill/lab/fleet/laws.py
+++ b/cedarmill/lab/fleet/laws.py
@@ -10,9 +10,9 @@
 
 from cedarmill.lab.fleet import linear
 from cedarmill.lab.fleet.history import Event
-from cedarmill.lab.fleet.scenario import Limit
 from cedarmill.lab.judge import no_forbidden_repeat, one_final_answer, true_results
 from cedarmill.lab.story import Story, Visit
+from cedarmill.values import LimitOptions
 
 KNOWN_US = 4_000_000  # after which the fleet has to know of a loss that nobody planned
 
@@ -23,7 +23,7 @@
 
     events: list[Event]
     visits: list[Visit]
-    limits: tuple[Limit, ...] = ()
+    limits: tuple[LimitOptions, ...] = ()
     places: dict[str, dict[str, str]] = field(default_factory=dict)  # of a target: kind, zone, type, group
     slots: dict[str, int] = field(default_factory=dict)
     story: Story | None = None
@@ -60,7 +60,7 @@
     return f"{event.at / 1e6:.3f} s"
 
 
-def scope(record: Record, limit: Limit, name: str) -> str | None:
+def scope(record: Record, limit: LimitOptions, name: str) -> str | None:
     """Which of a limit's scopes a target is counted in; None: it is not."""
     place = record.places.get(name)
     if place is None or place["kind"] != limit.kind:
@@ -68,7 +68,7 @@
     return "" if limit.per == "fleet" else place.get(limit.per, "")
 
 
-def allowed(record: Record, limit: Limit, at: str) -> int:
+def allowed(record: Record, limit: LimitOptions, at: str) -> int:
     """How many of a scope may be out, rounded to the safe side."""
     members = [name for name in record.places if scope(record, limit, name) == at]
     caps = [len(members)]
--- a/cedarmill/lab/fleet/operators.py
+++ b/cedarmill/lab/fleet/operators.py
@@ -1,10 +1,15 @@
-"""Operators as actors: each takes executors out, restarts them and puts them back, by doors or the fleet."""
+"""Operators as actors: each takes executors out, restarts them, puts them back, drives releases."""
 
 import asyncio
+import json
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING
 
+from cedarmill.fleet import commands
+from cedarmill.fleet import words as f
+from cedarmill.fleet.world import Plan
 from cedarmill.lab.fleet.scenario import Happening
+from cedarmill.net.operator import Operator, new_id
 
 if TYPE_CHECKING:
     from cedarmill.lab.fleet.run import FleetRun
@@ -13,7 +18,10 @@
 DRAIN_S = 1.6  # after the last door's yes: the rule on drains, and the call's own time
 EMPTY_S = 6.0  # then for its jobs to end
 STOPPED_S = 0.4  # between an executor's stop and its start
-LOOK_S = 0.02
+LOOK_S = 0.1
+ASK_S = 3.0  # for any keeper to answer, before the operator presses the key again
+PATIENCE = 40  # times that it does
+PLAN = {"width": 2, "bake": 3_000_000, "ready": 8_000_000, "sample": 30}  # of releases in the laboratory
 
 
 async def door_call(port: int, method: str, path: str) -> tuple[int, str]:
@@ -38,6 +46,7 @@
         self.run = run
         self._tasks: set[asyncio.Task] = set()
         self.failed: list[str] = []
+        self.releases: dict[str, int] = {}  # by the version: the number of the newest
 
     @property
     def busy(self) -> bool:
@@ -60,10 +69,166 @@
             await coroutine
         except (OSError, TimeoutError, ValueError) as error:
             self.failed.append(f"{type(error).__name__}: {error}")
+            self.run.history.tell("lab", "operator-failed", note=self.failed[-1])
+
+    # By the fleet.
+
+    async def ask(self, who: str, ask: f.Ask) -> f.Answer:
+        """Ask the keepers till one answers; the same request each time."""
+        operator = Operator("lab", self.run.crew.addresses, who)
+        for _ in range(PATIENCE):
+            try:
+                return await asyncio.to_thread(operator.ask, ask, ASK_S)
+            except OSError:
+                await asyncio.sleep(LOOK_S)
+        raise TimeoutError(f"{who}: no keeper answered")
+
+    async def look(self, who: str, what: str, *names: object) -> list:
+        """A part of what is agreed."""
+        answer = await self.ask(who, f.Look(what, names=[str(name) for name in names]))
+        return json.loads(answer.text)
 
     async def _restart(self, who: str, target: str, words: dict[str, str]) -> None:
         """Drain, wait, stop, start, put back."""
-        await self._restart_by_doors(who, target)
+        via = words.get("via", "doors" if not self.run.scenario.fleet.keepers else "keepers")
+        self.run.history.tell(f"{who}:{target}", "asked", target)
+        if via == "doors":
+            await self._restart_by_doors(who, target)
+        elif via == "keepers":
+            await self._restart_by_keepers(who, target)
+        else:
+            await self._restart_by_one_door(who, target, via)
+
+    async def _restart_by_keepers(self, who: str, target: str) -> None:
+        name = f"{who}:{target}"
+        did = await self.ask(name, f.Do(commands.Ask(0, name, new_id(), "executor", (target,), "a restart")))
+        permit, _, state, notes = did.permits[0][:4]
+        self.run.history.tell(name, "answer", target, number=permit)
+        if state == "refused":
+            self.run.history.tell(name, "refused", target, note="; ".join(notes))
+            return
+        if await self._drained(name, target, permit):
+            await self._take_down(name, target)
+            await self.ask(name, f.Do(commands.Give(0, name, new_id(), "executor", target)))
+            self.run.history.tell(name, "given", target)
+
+    async def _drained(self, name: str, target: str, permit: int) -> bool:
+        """Wait till the permit's target is drained; whether it came to that."""
+        taken = False
+        while True:
+            rows = await self.look(name, "permits", permit)
+            row = rows[0] if rows else {"state": "ended", "epoch": 0, "drained": 0, "notes": []}
+            if row["state"] not in ("waiting", "granted", "lost"):
+                self.run.history.tell(name, "refused", target, note=row["state"])
+                return False
+            if row["state"] != "waiting" and not taken:
+                taken = True
+                self.run.history.tell(name, "taken", target, epoch=row["epoch"])
+            if row["drained"]:
+                self.run.history.tell(name, "drained", target, epoch=row["epoch"])
+                return True
+            await asyncio.sleep(LOOK_S)
+
+    async def _take_down(self, name: str, target: str) -> None:
+        await self.restarted(target)
+        self.run.history.tell(name, "returning", target)
+        self.run.history.tell(name, "back", target)
+        self.run.history.tell(name, "giving", target)
+
+    async def _restart_by_one_door(self, who: str, target: str, node: str) -> None:
+        """As before the fleet, at one door; the fleet decides all the same."""
+        name = f"{who}:{target}"
+        status, text = 503, ""
+        for _ in range(PATIENCE):
+            port = self.run.crew.door(node)
+            try:
+                status, text = await door_call(port, "PUT", f"/api/exclude/{target}")
+            except (OSError, TimeoutError):
+                status = 503
+            if status != 503:
+                break
+            await asyncio.sleep(LOOK_S)
+        if status >= 300:
+            self.run.history.tell(name, "refused", target, note=text)
+            return
+        rows = [row for row in await self.look(name, "permits")
+                if row["target"] == target and row["state"] in ("waiting", "granted", "lost")]  # fmt: skip
+        if (
+            rows
+            and rows[-1]["holder"] == f"door:{node}"
+            and await self._drained(name, target, rows[-1]["id"])
+        ):
+            await self._take_down(name, target)
+            await self._include(name, target, node)
+
+    async def _include(self, name: str, target: str, node: str) -> None:
+        for _ in range(PATIENCE):
+            try:
+                status, _ = await door_call(self.run.crew.door(node), "PUT", f"/api/include/{target}")
+            except (OSError, TimeoutError):
+                status = 503
+            if status == 200:
+                self.run.history.tell(name, "given", target)
+                return
+            await asyncio.sleep(LOOK_S)
+
+    # Releases.
+
+    async def _release(self, who: str, target: str, words: dict[str, str]) -> None:
+        """Plan and start: one canary, then all the rest."""
+        units, version = self.run.nodes, words["version"]
+        plan = Plan(version, ((units[0],), tuple(units[1:])), **PLAN)
+        did = await self.ask(who, f.Do(commands.NewRelease(0, who, new_id(), plan)))
+        if not did.ok:
+            self.run.history.tell(who, "release-refused", note=did.text)
+            return
+        self.releases[version] = did.release
+        await self._act(who, "start", did.release)
+        await self._watch(who, did.release)
+
+    async def _act(self, who: str, act: str, number: int) -> f.Did:
+        did = await self.ask(who, f.Do(commands.ActRelease(0, who, new_id(), number, act, "the scenario")))
+        self.run.history.tell(who, f"release-{act}", note=did.text, number=number)
+        return did
+
+    async def _watch(self, who: str, number: int) -> None:
+        """Till it has ended or halted."""
+        state = ""
+        while state not in ("done", "backed", "halted", "back-halted"):
+            row = next(row for row in await self.look(who, "releases") if row["id"] == number)
+            if row["state"] != state:
+                state = row["state"]
+                self.run.history.tell(who, f"release {state}", note="; ".join(row["why"][-1:]), number=number)
+            await asyncio.sleep(LOOK_S)
+
+    async def _on_newest(self, who: str, act: str) -> None:
+        numbers = [row["id"] for row in await self.look(who, "releases")]
+        if numbers:
+            await self._act(who, act, max(numbers))
+            await self._watch(who, max(numbers))
+
+    async def _halt(self, who: str, target: str, words: dict[str, str]) -> None:
+        await self._on_newest(who, "halt")
+
+    async def _resume(self, who: str, target: str, words: dict[str, str]) -> None:
+        await self._on_newest(who, "resume")
+
+    async def _back(self, who: str, target: str, words: dict[str, str]) -> None:
+        await self._on_newest(who, "back")
+
+    async def name_open(self) -> None:
+        """At the end: what the keepers still name as out."""
+        try:
+            rows = await asyncio.wait_for(self.look("lab", "permits"), 2 * ASK_S)
+        except (OSError, TimeoutError):
+            return
+        for row in rows:
+            if row["state"] in ("granted", "lost"):
+                self.run.history.tell(
+                    "keepers", "named", row["target"], epoch=row["epoch"], note=row["state"]
+                )
+
+    # Without a fleet.
 
     async def _all_doors(self, what: str, target: str) -> list[tuple[int, str]]:
         """The same call at every door that answers."""
@@ -73,20 +238,18 @@
 
     async def _restart_by_doors(self, who: str, target: str) -> None:
         """As without a fleet: by each node's own door, with nobody who counts over all of them."""
-        history = self.run.history
-        history.tell(who, "asked", target)
+        history, name = self.run.history, f"{who}:{target}"
         answers = await self._all_doors("exclude", target)
         if not any(status < 300 for status, _ in answers):
-            history.tell(who, "refused", target, note=answers[0][1] if answers else "no door answers")
+            history.tell(name, "refused", target, note=answers[0][1] if answers else "no door answers")
             return
-        history.tell(who, "taken", target, note=f"{len(answers)} doors said yes")
+        history.tell(name, "taken", target, note=f"{len(answers)} doors said yes")
         await asyncio.sleep(DRAIN_S)
         await self.emptied(target)
-        history.tell(who, "drained", target)
-        await self.restarted(target)
-        history.tell(who, "returning", target)
+        history.tell(name, "drained", target)
+        await self._take_down(name, target)
         await self._all_doors("include", target)
-        history.tell(who, "back", target)
+        history.tell(name, "given", target)
 
     async def emptied(self, target: str) -> None:
         """Wait till an executor's jobs have ended, or for long enough."""
--- a/cedarmill/lab/fleet/processes.py
+++ b/cedarmill/lab/fleet/processes.py
@@ -30,8 +30,10 @@
     """One process of a run; it may be started several times, under one name."""
 
     def __init__(self, name: str, command: Sequence[str], env: Mapping[str, str],
-                 told: Callable[[str, str, str], None] = lambda name, what, note: None) -> None:  # fmt: skip
+                 told: Callable[[str, str, str], None] = lambda name, what, note: None,
+                 heard: Callable[[str, str], None] = lambda name, line: None) -> None:  # fmt: skip
         self.name, self.command, self.env, self.told = name, list(command), dict(env), told
+        self.heard = heard  # each line of its log
         self.lines: list[str] = []
         self.starts = 0
         self.code: int | None = None  # of its last end
@@ -79,6 +81,7 @@
 
     def line(self, line: str) -> None:
         """A line of its log."""
+        self.heard(self.name, line)
         if len(self.lines) < KEPT_LINES:
             self.lines.append(line)
         for wait in [wait for wait in self._waits if wait[0] in line]:
--- a/cedarmill/lab/fleet/run.py
+++ b/cedarmill/lab/fleet/run.py
@@ -1,8 +1,11 @@
 """Plays a scenario of many processes: executors, directors and clients here, all else real processes."""
 
 import asyncio
+import contextlib
 import gc
 import json
+import os
+import signal
 import sys
 import tempfile
 import time
@@ -12,8 +15,10 @@
 import numpy
 import uvloop
 
+from cedarmill.conf.document import ConfError
 from cedarmill.lab.director import Director
-from cedarmill.lab.fleet.executors import Executor
+from cedarmill.lab.fleet.crew import Crew
+from cedarmill.lab.fleet.executors import WARM_S, Executor
 from cedarmill.lab.fleet.faults import Faults
 from cedarmill.lab.fleet.history import History
 from cedarmill.lab.fleet.laws import Record
@@ -27,6 +32,7 @@
 
 START_S = 30.0  # for a process to start, on a machine that starts thirty at once
 END_S = 25.0  # for a process to end after SIGTERM
+SETTLE_US = 40_000_000  # after the load, for operators to come to an end
 REST_S = 3.0  # after the longest budget, for the last answers
 LOOK_S = 0.05  # between two looks at whether all is done
 KIND = "box"
@@ -55,8 +61,11 @@
         self.doors: dict[str, int] = {}  # operators', by node
         self.visits: list = []
         self.load: Load | None = None
+        self.crew = Crew(self)
         self.operators = Operators(self)
         self.faults = Faults(self)
+        self.ending = False
+        self._tasks: set[asyncio.Task] = set()
 
     def clock(self) -> int:
         """Microseconds since the run began."""
@@ -86,6 +95,7 @@
         self._make_executors()
         for box in self.executors.values():
             await box.open()
+        await self.crew.start_keepers()
         await asyncio.gather(*(self._start_node(name, number) for number, name in enumerate(self.nodes)))
 
     def _make_executors(self) -> None:
@@ -95,9 +105,15 @@
             dice = numpy.random.Generator(numpy.random.PCG64(seed))
             box = Executor(f"box-{number}", f"zone-{number % fleet.zones}", fleet.cores, fleet.slots, speed,
                            fleet.queue, False, _work, self.clock, self.visits, dice)  # fmt: skip
-            box.history = self.history
+            box.history, box.on_up = self.history, self._listed_anew
             self.executors[box.name] = box
 
+    def _listed_anew(self, name: str) -> None:
+        """Discovery lists an executor that was started anew, for each node."""
+        since_ms = time.time_ns() // 1_000_000
+        for director in self.directors.values():
+            director.restarted(name, since_ms)
+
     async def _director(self, node: str) -> Director:
         """The list as one node sees it: with its own links to the executors, where links are faulty."""
         director = self.directors[node] = Director(self.clock)
@@ -120,15 +136,18 @@
             "seed": f"{self.seed * 1000 + number:x}", "limits": {"sockets": 1024, "memory_mb": 192},
             "known": director.listing(),
             "settings": {**platform_settings(self.scenario, False), "zone": zone}}))  # fmt: skip
+        words = []
+        if self.scenario.fleet.keepers:
+            settings = await self.crew.node_settings(name, folder)
+            words = ["-c", str(settings)]
+            if self.scenario.fleet.stewards:
+                await self.crew.start_steward(number, name, config, settings)
+                return
         env = environment(LB_CONFIG=str(config), TMPDIR=str(folder))
-        command = [sys.executable, "-m", "cedarmill.cli", "node", *self.node_words(name)]
-        self.processes[name] = Process(name, command, env, self._process_told)
+        command = [sys.executable, "-m", "cedarmill.cli", "node", *words]
+        self.processes[name] = Process(name, command, env, self.process_told)
         await self.start(name)
 
-    def node_words(self, name: str) -> list[str]:
-        """More words for the command that starts this node."""
-        return []
-
     async def start(self, name: str) -> None:
         """Start a process, and learn where it serves."""
         process = self.processes[name]
@@ -139,21 +158,39 @@
             self.ports[name] = int(said.split()[-1])
             door = await process.said("operators' door on", START_S, since)
             self.doors[name] = int(door.split()[-1])
+        elif name.startswith("keeper"):
+            await process.said('"keeper-serves"', START_S, since)
+        elif name.startswith("steward"):
+            await process.said('"steward-serves"', START_S, since)
 
     async def start_again(self, name: str, disk: str) -> None:
         """Start a process that has ended, with the disk that is asked for."""
         if self.processes[name].alive:
             return
-        await self.start(name)
+        if name.startswith("keeper"):
+            self.crew.well(name)
+            self.crew.disk(name, disk)
+        with contextlib.suppress(ConfError):  # one that is not to start says so in its log
+            await self.start(name)
 
     def disk_fault(self, name: str, fault: str, lasts: int) -> None:
-        """A fault of a process's disk."""
+        """A fault of a keeper's disk; the keeper is started anew when it is over."""
+        self.crew.fault(name, fault)
+        loop = asyncio.get_running_loop()
+        loop.call_later((lasts or 1_000_000) / 1e6, self._disk_well, name)
+
+    def _disk_well(self, name: str) -> None:
+        self.crew.well(name)
+        if not self.processes[name].alive and not self.ending:
+            task = asyncio.ensure_future(self.start_again(name, "own"))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def leader(self) -> str:
         """The keeper that leads, where there is one."""
-        return ""
+        return self.crew.leading
 
-    def _process_told(self, name: str, what: str, note: str) -> None:
+    def process_told(self, name: str, what: str, note: str) -> None:
         self.history.tell(name, what, name, note=note)
         if what == "ended":
             self.ports.pop(name, None)
@@ -175,6 +212,7 @@
             self.load.start(self.scenario.length)
             self.faults.plan(self.scenario.timeline)
             await self._till_done()
+            await self._settle()
         finally:
             await self.close()
         story.calls, story.visits = self.load.calls, self.visits
@@ -187,9 +225,18 @@
         while self.clock() < last:
             await asyncio.sleep(LOOK_S)
             self.told(min(1.0, self.clock() / length))
-            if self.clock() > length and not self.load.open and not self.operators.busy:
+            if self.clock() > length and not self.load.open:
                 return
 
+    async def _settle(self) -> None:
+        """Operators that still wait get their time; then the keepers name what is out."""
+        self.faults.end()
+        until = self.clock() + SETTLE_US
+        while self.operators.busy and self.clock() < until:
+            await asyncio.sleep(LOOK_S)
+        if self.scenario.fleet.keepers:
+            await self.operators.name_open()
+
     def _record(self, story: Story) -> Record:
         places = {box.name: {"kind": "executor", "zone": box.zone, "type": KIND, "group": "0"}
                   for box in self.executors.values()}  # fmt: skip
@@ -197,13 +244,21 @@
             places[name] = {"kind": "node", "zone": f"zone-{number % self.scenario.fleet.zones}"}
         slots = {box.name: box.slots for box in self.executors.values()}
         events = sorted(self.history.events, key=lambda event: event.at)
-        return Record(events, self.visits, self.scenario.limits, places, slots, story)
+        cold = int(WARM_S * 1e6) if self.scenario.fleet.keepers else 0
+        return Record(events, self.visits, self.scenario.limits, places, slots, story, cold)
 
     async def close(self) -> None:
         """End what still runs, then all that it talked to; the logs go into the folder."""
+        self.ending = True
         self.faults.end()
         await self.operators.end()
+        for task in list(self._tasks):
+            task.cancel()
+        units = [pid for node in self.crew.listens for pid in self.crew.pids(node)]
         await asyncio.gather(*(process.end(END_S) for process in self.processes.values()))
+        for pid in units:  # they outlive their stewards; each was started by one of ours
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL)
         for process in self.processes.values():
             (self.folder / f"{process.name}.log").write_text("\n".join(process.lines) + "\n")
         for box in self.executors.values():
--- a/cedarmill/lab/fleet/scenario.py
+++ b/cedarmill/lab/fleet/scenario.py
@@ -5,10 +5,12 @@
 
 from lxml import etree
 
-from cedarmill.conf.document import ConfError, load, microseconds, share
+from cedarmill.conf.document import ConfError, load, microseconds
+from cedarmill.conf.fleet import limit
 from cedarmill.lab.load import Habits
 from cedarmill.lab.scenario import class_habits, class_rules
 from cedarmill.lab.story import ClassRules
+from cedarmill.values import LimitOptions
 
 SHIPPED = Path(__file__).parent / "scenarios"
 
@@ -29,17 +31,6 @@
     fastest: float
 
 
-@dataclass(frozen=True, slots=True)
-class Limit:
-    """What may be out at once, as the fleet's own limits say it; shares in thousandths, -1: not set."""
-
-    kind: str
-    per: str
-    most: int = -1
-    share: int = -1
-    capacity_left: int = -1
-
-
 @dataclass(frozen=True, slots=True)
 class Happening:
     """One entry of the timeline: an element's name, when, how long (0: for good), and its other words."""
@@ -63,7 +54,7 @@
     habits: tuple[Habits, ...]
     rules: dict[str, ClassRules]
     worths: dict[str, float]
-    limits: tuple[Limit, ...]
+    limits: tuple[LimitOptions, ...]
     timeline: tuple[Happening, ...]
 
 
@@ -87,7 +78,7 @@
         float(root.find("load").get("rate")), tuple(map(class_habits, classes)),
         {element.get("name"): class_rules(element) for element in classes},
         {element.get("name"): float(element.get("worth")) for element in classes},
-        tuple(_limit(path, element) for element in root.findall("limit")), timeline,
+        tuple(limit(path, element) for element in root.findall("limit")), timeline,
     )  # fmt: skip
 
 
@@ -98,18 +89,6 @@
     return Fleet(*numbers, element.get("stewards") == "on", *places, *speeds)
 
 
-def _limit(path: Path, element: etree._Element) -> Limit:
-    most, part, left = (element.get(name) for name in ("most", "share", "capacity-left"))
-    if most is None and part is None and left is None:
-        raise ConfError(f"{path}:{element.sourceline}: <limit>: one of most, share, capacity-left is needed")
-    return Limit(element.get("kind"), element.get("per"), -1 if most is None else int(most),
-                 _thousandths(part), _thousandths(left))  # fmt: skip
-
-
-def _thousandths(text: str | None) -> int:
-    return -1 if text is None else round(share(text) * 1000)
-
-
 # what an entry needs beside the schema, by its element: (when its word is this), these words
 _NEEDS = {
     "process": {"slow": ("size",)},
--- a/cedarmill/lab/fleet/virtual.py
+++ b/cedarmill/lab/fleet/virtual.py
@@ -27,8 +27,8 @@
 from cedarmill.fleet.world import Limit, Plan, World, freeze
 from cedarmill.lab.fleet.history import History
 from cedarmill.lab.fleet.laws import Record
-from cedarmill.lab.fleet.scenario import Limit as LabLimit
 from cedarmill.lab.story import Visit
+from cedarmill.values import LimitOptions
 
 RATE_MOST = 0.005  # that a clock runs fast or slow: half of the bound that leases are made for
 MS = 1000
@@ -670,7 +670,7 @@
                   for n, name in enumerate(self.executors)}  # fmt: skip
         places |= {f"node-{n}": {"kind": "node", "zone": f"z{n % self.shape.zones}"}
                    for n in range(self.shape.nodes)}  # fmt: skip
-        limits = tuple(LabLimit(one.kind, one.per, one.most, one.share, one.capacity_left)
+        limits = tuple(LimitOptions(one.kind, one.per, one.most, one.share, one.capacity_left)
                        for one in self.shape.limits)  # fmt: skip
         slots = dict.fromkeys(places, 2)
         return Record(self.history.events, self.visits, limits, places, slots, None, COLD, self.found)
--- a/cedarmill/net/config.py
+++ b/cedarmill/net/config.py
@@ -138,8 +138,8 @@
     def __init__(self, settings: api.Settings) -> None:
         self.numbers: dict[str, int] = {}
         self.names: dict[int, str] = {}  # the other way round
-        self._zones = {name: n for n, name in enumerate(settings.zones)}
-        self._kinds = {name: n for n, name in enumerate(settings.kinds)}
+        self.zones = {name: n for n, name in enumerate(settings.zones)}
+        self.kinds = {name: n for n, name in enumerate(settings.kinds)}
         # taken once: a start that moved by a microsecond between two lists would look like a restart
         self._unix_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
 
@@ -154,9 +154,9 @@
         return api.WorkerEntry(
             number,
             _STATES.get(raw.status, api.WorkerState.DRAINING),  # one not known yet: nothing new goes there
-            self._zones.setdefault(raw.zone, len(self._zones)),
+            self.zones.setdefault(raw.zone, len(self.zones)),
             raw.group,
             self.at(raw.since_ms * 1000) if raw.since_ms else 0,
             raw.weight,
-            self._kinds.setdefault(raw.type, len(self._kinds)),
+            self.kinds.setdefault(raw.type, len(self.kinds)),
         )
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/director.py
@@ -125,6 +125,8 @@
         self.entries: dict[int, api.WorkerEntry] = {}  # the list as it stands, as discovery tells it
         self.heard: Callable[[], None] | None = None  # called after each news of the list
         self.excluded: dict[str, int] = {}  # out by hand, and since when: to the module they drain
+        self.held = False  # nothing may be sent: to the module all drain
+        self.listed_start: dict[int, int] = {}  # Unix ms, as discovery tells it
 
     def first(self, known: Listing) -> None:
         """The list of the configuration."""
@@ -151,16 +153,27 @@
         if kind != api.ListKind.DELTA:
             self.entries.clear()
         self.entries.update((entry.worker, entry) for entry in entries)
+        self.listed_start.update((self.reader.numbers[e.name], e.since_ms) for e in listing.endpoints)
         self.dispatch.listed(self.turn.now(), api.WorkerList(kind, [self._told(entry) for entry in entries]))
         if self.heard is not None:
             self.heard()
 
     def _told(self, entry: api.WorkerEntry) -> api.WorkerEntry:
         """The entry as the module hears it: one that is out by hand drains."""
-        if self.reader.names.get(entry.worker) in self.excluded and entry.state == api.WorkerState.READY:
+        out = self.held or self.reader.names.get(entry.worker) in self.excluded
+        if out and entry.state == api.WorkerState.READY:
             return replace(entry, state=api.WorkerState.DRAINING)
         return entry
 
+    def hold(self, held: bool) -> None:
+        """Nothing may be sent from now on, or what the list says holds again."""
+        if held == self.held:
+            return
+        self.held = held
+        if self.entries:
+            news = [self._told(entry) for entry in self.entries.values()]
+            self.dispatch.listed(self.turn.now(), api.WorkerList(api.ListKind.DELTA, news))
+
     def knows(self, name: str) -> bool:
         """Whether discovery has named this executor since the start, or the configuration did."""
         return name in self.reader.numbers
--- a/cedarmill/net/door.py
+++ b/cedarmill/net/door.py
@@ -23,9 +23,13 @@
 ACCEPT_AGAIN_US = 50_000  # after the process ran out of descriptors
 MAX_CALL = 8 * 1024  # bytes of head and body together
 HEAD = b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n%s\r\n"
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           408: "Request Timeout",
            409: "Conflict", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           503: "Service Unavailable"}  # fmt: skip
+           503: "Service Unavailable"}
+
+
+Answer = Callable[[int, bytes], None]  # status and text; where a fleet is asked first, it comes later
 
 
 class DoorSession(asyncio.Protocol):
@@ -91,12 +95,11 @@
             more = b"Allow: %s\r\n" % calls.allowed(self.target) if refused.status == 405 else b""
             self.answer(refused.status, str(refused).encode() + b"\n", more, method)
             return
-        status, text = self.door.obey(call)
-        self.answer(status, text, b"", method)
+        self.door.obey(call, lambda status, text: self.answer(status, text, b"", method))
 
     def answer(self, status: int, body: bytes, more: bytes = b"", method: bytes = b"") -> None:
         """The one answer, then the end of the connection."""
-        if self.over:
+        if self.over or self.transport is None or self.transport.is_closing():
             return
         self.over = True
         text = HEAD % (status, REASONS[status].encode(), len(body), more)
@@ -120,7 +123,7 @@
 class Door(Accepting):
     """The listening socket of the door and its sessions, the oldest first."""
 
-    def __init__(self, turn: Turn, obey: Callable[[calls.Call], tuple[int, bytes]]) -> None:
+    def __init__(self, turn: Turn, obey: Callable[[calls.Call, Answer], None]) -> None:
         self.turn, self.obey = turn, obey
         self.sessions: dict[DoorSession, None] = {}
         self.port = 0
--- /dev/null
+++ b/cedarmill/net/fleet.py
@@ -0,0 +1,215 @@
+"""A node's part in the fleet: what it tells of itself and of executors, and what it follows. Off on the
+platform.
+
+Orders reach the module as what it knows already: executors that drain. Whether anything may be sent at all is
+asked when an attempt is written (`Dispatch.fence`): before the first orders nothing may, and with
+`cut-off="stop"` nothing once the lease has run out.
+"""
+
+import dataclasses
+import os
+import secrets
+from collections.abc import Callable
+
+from cedarmill.decisions import interface as api
+from cedarmill.fleet import commands
+from cedarmill.fleet import words as f
+from cedarmill.fleet.agent import Facts, Who
+from cedarmill.log import say
+from cedarmill.net.clients import Clients
+from cedarmill.net.config import Address, Config
+from cedarmill.net.director import Director
+from cedarmill.net.hands import Answer, Hands
+from cedarmill.net.member import LEAVE_US, Membership
+from cedarmill.net.turn import Turn
+from cedarmill.ops.door import Act, Call
+from cedarmill.values import FleetOptions
+
+STRIKES = 3  # signs in a row that an executor is dead or unreachable, before it is told as ill
+DOOR_US = 900_000  # for a keeper's answer to a call at the door: the page owes one within 1 s
+STATES = {api.WorkerState.READY: "ready", api.WorkerState.DRAINING: "draining", api.WorkerState.GONE: "gone"}
+
+
+class NodeFleet:
+    """What ties a node to the fleet."""
+
+    def __init__(
+        self,
+        turn: Turn,
+        config: Config,
+        options: FleetOptions,
+        clients: Clients,
+        director: Director,
+        hands: Hands,
+    ) -> None:
+        self.turn, self.options, self.name = turn, options, config.name
+        self.clients, self.director, self.hands = clients, director, hands
+        self.dispatch = director.dispatch
+        self.tally = [0, 0, 0, 0]  # jobs, failed, late, refused
+        self.orders: f.Orders | None = None
+        self.pending: dict[tuple[str, str], str] = {}  # of calls at the door without an answer: their ids
+        self._calls = 0
+        zones = config.settings.zones
+        zone = zones[config.settings.zone] if config.settings.zone < len(zones) else ""
+        self.life = os.environ.get("CEDARMILL_LIFE") or secrets.token_hex(6)
+        listen = Address.parse(options.listen) if options.listen else None
+        who = Who(
+            "node",
+            config.name,
+            self.life,
+            zone,
+            options.listen,
+            os.environ.get("CEDARMILL_VERSION", ""),
+            stops=options.cut_off == "stop",
+        )
+        keepers = {name: Address.parse(address) for name, address in options.keepers.items()}
+        self.membership = Membership(
+            turn, options.cluster, who, keepers, self.facts, self.follow, self._lapsed, self._resumed
+        )
+        self.listen = listen
+        self.dispatch.fence = self.may_send
+        self.dispatch.told = self._answered
+        hands.agreed = self.obey
+        if options.start == "wait":
+            director.hold(True)
+
+    def start(self) -> None:
+        """Begin the session; raises OSError where the address for looks cannot be had."""
+        if self.listen is not None:
+            self.membership.listen(self.listen)
+            if not self.listen.port:
+                address = f"{self.listen.host}:{self.membership.port}"
+                self.membership.agent.who = self.membership.who = _at(self.membership.who, address)
+        self.membership.start()
+
+    # Orders.
+
+    def may_send(self, now: int) -> bool:
+        """Asked at each write: a process that stood still acts on nothing it knew before."""
+        if self.orders is None:
+            return self.options.start == "alone"
+        return self.options.cut_off == "serve" or self.membership.agent.holds(now)
+
+    def follow(self, orders: f.Orders) -> None:
+        """Newer orders: the module hears of what is out as draining."""
+        before, self.orders = self.orders, orders
+        say(
+            "fleet-orders",
+            epoch=orders.epoch,
+            out=", ".join(sorted(orders.out)) or "nothing",
+            away="yes" if orders.away else "no",
+        )
+        if before is None or before.out.keys() != orders.out.keys():
+            self.hands.out_by_fleet(dict.fromkeys(orders.out, self.turn.now()))
+        if self.may_send(self.turn.now()) or self.options.cut_off == "serve":
+            self.director.hold(False)
+        if bool(orders.away) != bool(before is not None and before.away):
+            self.hands.send_away(bool(orders.away))
+
+    def _lapsed(self) -> None:
+        if self.options.cut_off == "stop":
+            self.director.hold(True)
+
+    def _resumed(self) -> None:
+        self.director.hold(False)
+
+    # What is told.
+
+    def facts(self) -> Facts:
+        """As it stands at a beat."""
+        return Facts(self._done(), self._seen(), counts=tuple(self.tally))
+
+    def _done(self) -> dict[str, int]:
+        """Executors that get nothing from here and have nothing of ours; this node, if its clients are
+        gone.
+        """
+        if self.orders is None:
+            return {}
+        done = {}
+        if self.orders.out:
+            busy = self.dispatch.busy()
+            numbers = self.director.reader.numbers
+            done = {name: epoch for name, epoch in self.orders.out.items() if numbers.get(name) not in busy}
+        if self.orders.away and not self.clients.sessions and not self.dispatch.owed:
+            done[self.name] = self.orders.away
+        return done
+
+    def _seen(self) -> dict[str, f.Sight]:
+        reader, workers, found = self.director.reader, self.dispatch.brain.workers, {}
+        zones = {number: name for name, number in reader.zones.items()}
+        kinds = {number: name for name, number in reader.kinds.items()}
+        for number, entry in self.director.entries.items():
+            worker = workers.get(number)
+            ill = worker is not None and worker.strikes >= STRIKES
+            started = self.director.listed_start.get(number, 0)
+            found[reader.names[number]] = f.Sight(
+                STATES[entry.state],
+                ill,
+                zones.get(entry.zone, ""),
+                kinds.get(entry.kind, ""),
+                str(entry.cell),
+                max(1, round(entry.size)),
+                started,
+            )
+        return found
+
+    def _answered(self, kind: str, late: bool) -> None:
+        """A req has its final answer."""
+        self.tally[0] += 1
+        if kind == "failed":
+            self.tally[1] += 1
+        elif kind == "refused":
+            self.tally[3] += 1
+        elif late:
+            self.tally[2] += 1
+
+    # The door.
+
+    def obey(self, call: Call, answer: Answer) -> None:
+        """A call that takes something out or puts it back is a request to the fleet."""
+        kind, name = ("executor", call.executor) if call.executor else ("node", self.name)
+        if call.act == Act.EXCLUDE and not self.director.knows(name):
+            answer(404, b"no executor of that id\n")
+            return
+        takes = call.act in (Act.EXCLUDE, Act.EVACUATE)
+        who, key = f"door:{self.name}", (call.act.value, name)
+        number = self.pending.setdefault(
+            key, self._new_id()
+        )  # asked again without an answer: the same request
+        request = (
+            commands.Ask(0, who, number, kind, (name,), "at the door")
+            if takes
+            else commands.Give(0, who, number, kind, name)
+        )
+        self.membership.ask(f.Do(request), DOOR_US, lambda word: self._told(word, key, takes, answer))
+
+    def _new_id(self) -> str:
+        self._calls += 1
+        return f"{self.life}-{self._calls}"
+
+    def _told(self, word: object, key: tuple[str, str], takes: bool, answer: Answer) -> None:
+        if not isinstance(word, f.Did):
+            reason = word.reason if isinstance(word, f.NotHere) else "not understood"
+            answer(503, f"not known: {reason}; call again\n".encode())
+            return
+        self.pending.pop(key, None)
+        if not takes:
+            answer(200 if word.ok or "is not out" in word.text else 409, f"{word.text}\n".encode())
+            return
+        state, notes = (word.permits[0][2], word.permits[0][3]) if word.permits else ("refused", [word.text])
+        out_already = any("is out already" in note or "waits already" in note for note in notes)
+        if state == "granted" or out_already:  # two calls out are one
+            answer(200, b"granted\n" if state == "granted" else f"{'; '.join(notes)}\n".encode())
+        elif state == "waiting":
+            answer(202, f"waiting: {'; '.join(notes)}\n".encode())
+        else:
+            answer(409, f"{state}: {'; '.join(notes)}\n".encode())
+
+    def leave(self, then: Callable[[], None]) -> None:
+        """This process ends and has nothing out."""
+        self.membership.leave()
+        self.turn.deadlines.add(self.turn.now() + LEAVE_US, lambda now: then())
+
+
+def _at(who: Who, address: str) -> Who:
+    return dataclasses.replace(who, address=address)
--- a/cedarmill/net/hands.py
+++ b/cedarmill/net/hands.py
@@ -10,6 +10,7 @@
 from cedarmill.log import say
 from cedarmill.net.clients import Clients
 from cedarmill.net.director import Director
+from cedarmill.net.door import Answer
 from cedarmill.net.kept import KeptFile, kept_path
 from cedarmill.net.turn import Turn, unix_us
 from cedarmill.ops.door import Act, Call
@@ -28,6 +29,8 @@
         self.turn, self.clients, self.director, self.ending = turn, clients, director, ending
         self.kept = KeptFile(kept_path(node, KIND))
         self.exclusions = Exclusions(node)
+        self.agreed: Callable[[Call, Answer], None] | None = None  # where a fleet decides
+        self.by_fleet: dict[str, int] = {}  # executors out by the fleet's word
         self._away = 0  # grows with each evacuation: an old sweep ends when it sees a newer one
         self._acts = {Act.READY: self._ready, Act.EXCLUDE: self._mark, Act.INCLUDE: self._mark,
                       Act.EVACUATE: self._evacuate, Act.REJOIN: self._rejoin}  # fmt: skip
@@ -56,11 +59,24 @@
     def _tell(self) -> None:
         """The director lays the marks as they now stand over what the module hears of these executors."""
         at = self.director.reader.at
-        self.director.mark({name: at(since) for name, since in self.exclusions.since.items()})
-
-    def obey(self, call: Call) -> tuple[int, bytes]:
-        """The status and text of the answer to a call understood."""
-        return self._acts[call.act](call)
+        own = {name: at(since) for name, since in self.exclusions.since.items()}
+        self.director.mark({**self.by_fleet, **own})
+
+    def obey(self, call: Call, answer: Answer) -> None:
+        """Answer a call understood: at once, or when the fleet has been asked, where there is one."""
+        if self.agreed is not None and call.act != Act.READY:
+            self.agreed(call, answer)
+        else:
+            answer(*self._acts[call.act](call))
+
+    def out_by_fleet(self, marks: dict[str, int]) -> None:
+        """These are out by the fleet's word now, beside those by this door's; times in the brain's clock."""
+        self.by_fleet = {name: self.by_fleet.get(name, at) for name, at in marks.items()}
+        self._tell()
+
+    def send_away(self, away: bool) -> None:
+        """The fleet has this node send its clients away, or take them again."""
+        (self._evacuate if away else self._rejoin)(Call(Act.EVACUATE if away else Act.REJOIN))
 
     def _ready(self, call: Call) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.clients.ready() else (503, b"not ready\n")
--- /dev/null
+++ b/cedarmill/net/keeper.py
@@ -0,0 +1,352 @@
+"""A keeper's process: the core on its disk and its connections. It carries no reqs."""
+
+import dataclasses
+import signal
+import sys
+
+import uvloop
+
+from cedarmill import log
+from cedarmill.core.deadlines import Deadlines
+from cedarmill.fleet import words as f
+from cedarmill.fleet.agree import words as w
+from cedarmill.fleet.hosting import Host
+from cedarmill.fleet.keeper import Keeper
+from cedarmill.fleet.world import Limit, World, freeze, thaw
+from cedarmill.log import say
+from cedarmill.net.config import Address
+from cedarmill.net.listening import Accepting, listening_socket
+from cedarmill.net.peers import HELLO_US, SILENT_US, Wire
+from cedarmill.net.turn import Turn, callback
+from cedarmill.store.files import Files
+from cedarmill.store.keep import Store, restore
+from cedarmill.store.log import StoreError
+from cedarmill.values import KeeperOptions
+
+DIAL_US = 200_000  # between two tries to reach another keeper
+SESSIONS = 4096  # connections of members and operators: nodes, stewards, and a few operators
+BACKLOG = 1024
+ACCEPTS = 32  # in one turn
+ACCEPT_AGAIN_US = 50_000
+FIRST = 1  # index and term of what a cluster begins with
+DISK_FAILED = 3  # exit code
+
+
+def disk_name(cluster: str, name: str) -> str:
+    """Of the disks with which a cluster begins; all others are named by chance."""
+    return f"{cluster}/{name}/1"
+
+
+def first_snapshot(options: KeeperOptions, text: bytes = b"") -> w.Snapshot:
+    """What all keepers of a new cluster begin with, to the last byte; or of one restored from a backup.
+
+    A restored one has a generation more, and counts what was granted as out till it is proved back. Raises
+    StoreError.
+    """
+    config = {name: w.Peer(address, True, disk_name(options.cluster, name))
+              for name, address in sorted(options.peers.items())}  # fmt: skip
+    if not text:
+        limits = [Limit(*dataclasses.astuple(limit)) for limit in options.limits]
+        world = World(options.cluster, limits=limits, cold_us=options.cold_us,
+                      cold_share=options.cold_share)  # fmt: skip
+        return w.Snapshot(FIRST, FIRST, config, freeze(world))
+    before = restore(text)
+    world = thaw(before.data)
+    world.generation, world.cluster = world.generation + 1, options.cluster
+    for permit in world.permits.values():
+        if permit.state == "granted":
+            permit.state = "lost"
+    world.index, world.told = before.index, world.generation << 40 | before.index
+    world.note("restored from a backup: what was granted counts as out till it is back")
+    return w.Snapshot(before.index, max(before.term, FIRST), config, freeze(world))
+
+
+class KeeperProcess(Accepting):
+    """One keeper on one loop."""
+
+    def __init__(self, options: KeeperOptions, files: Files | None = None) -> None:
+        """Open the store; raises StoreError or OSError."""
+        self.options = options
+        self.loop = uvloop.new_event_loop()
+        self.loop.set_exception_handler(self._exception)
+        self.deadlines = Deadlines()
+        self.turn = Turn(self.loop, self.deadlines)
+        self.store = Store(files or Files(options.data), options.cluster, options.name)
+        seed = int.from_bytes(self.store.identity.disk.encode()[-6:], "big") + self.store.identity.boot
+        self.keeper = Keeper(options.name, self.store.saved, self.turn.now(), seed)
+        self.host = Host(self.keeper, self)
+        self.wires: dict[str, Wire] = {}  # to other keepers, one each
+        self.dialling: dict[str, Wire] = {}
+        self.askers: dict[Wire, str] = {}
+        self.tokens: dict[int, tuple[Wire, int]] = {}
+        self.port = 0
+        self.code = 0
+        self.alarms: set[str] = set()
+        self._count = 0
+        self._soon = False
+        self._timer = None
+        self._words = {f.Hello: self._hello, f.Refused: self._refused}
+
+    # The port of the host.
+
+    def save(self, action: w.Save | w.Put) -> None:
+        self.store.save(action)
+
+    def sync(self) -> bool:
+        return self.store.sync()
+
+    def put_snapshot(self, snapshot: w.Snapshot, entries: list[w.Entry]) -> None:
+        self.store.put_snapshot(snapshot, entries)
+
+    def send(self, target: str, message: object) -> None:
+        wire = self.wires.get(target)
+        if wire is not None:
+            wire.say(0, message)
+
+    def reply(self, token: int, answer: object) -> None:
+        found = self.tokens.pop(token, None)
+        if found is not None:
+            found[0].say(found[1], answer)
+
+    def tell(self, action: w.Role | w.Alarm) -> None:
+        if isinstance(action, w.Role):
+            part = "leader" if action.leads else "follower"
+            say("keeper-role", part=part, leader=action.leader or "nobody",
+                term=action.term)
+        else:
+            self._alarm(action.text)
+
+    def _alarm(self, text: str) -> None:
+        if text not in self.alarms:
+            self.alarms.add(text)
+            say("keeper-alarm", reason=text)
+
+    # Turns.
+
+    def _take(self, actions: list) -> None:
+        """What follows of an event; carried out once for all that came in this turn of the loop."""
+        self.host.take(actions)
+        if not self._soon:
+            self._soon = True
+            self.loop.call_soon(self._flush)
+
+    @callback
+    def _flush(self) -> None:
+        self._soon = False
+        try:
+            self.host.flush(self.turn.now())
+        except OSError as error:
+            self._disk_failed(error)
+            return
+        self._arm()
+
+    def _disk_failed(self, error: OSError) -> None:
+        """Nothing more may be promised: this keeper ends, and says so."""
+        say("keeper-disk", reason=error.strerror or error)
+        self.host.pending.clear()
+        self.code = DISK_FAILED
+        self.loop.stop()
+
+    def _arm(self) -> None:
+        self.deadlines.cancel(self._timer)
+        self._timer = self.deadlines.add(max(self.keeper.due, self.turn.now() + 1000), self._passed)
+
+    def _passed(self, now: int) -> None:
+        self._take(self.keeper.passed(now))
+        for wire in list(self.wires.values()):
+            if now - wire.last > SILENT_US:
+                wire.end("silent")
+
+    # Other keepers.
+
+    def _dial_again(self, now: int) -> None:
+        """Of a pair, the one whose name comes first dials."""
+        self.deadlines.add(now + DIAL_US, self._dial_again)
+        for name, address in self._addresses().items():
+            if self.options.name < name and name not in self.wires and name not in self.dialling:
+                wire = Wire(self.turn, self._heard, self._ended, self._greet)
+                wire.name = name
+                self.dialling[name] = wire
+                wire.dial(address)
+
+    def _addresses(self) -> dict[str, Address]:
+        """As this keeper's own file names them, else as the cluster does."""
+        found = {name: Address.parse(text) for name, text in self.options.peers.items()}
+        for name, peer in self.keeper.agree.config.items():
+            if name not in found and peer.address:
+                found[name] = Address.parse(peer.address)
+        found.pop(self.options.name, None)
+        return found
+
+    def _own_hello(self) -> f.Hello:
+        identity = self.store.identity
+        return f.Hello(self.options.cluster, self.options.name, "keeper", identity.disk, identity.boot)
+
+    def _greet(self, wire: Wire) -> None:
+        wire.say(0, self._own_hello())
+
+    def _admit(self, hello: f.Hello) -> str:
+        """Why a connection is not taken; empty: it is."""
+        if hello.cluster != self.options.cluster:
+            return f"this is cluster {self.options.cluster}, not {hello.cluster}"
+        if hello.role != "keeper":
+            return "" if len(self.askers) < SESSIONS else f"{SESSIONS} connections are open already"
+        if hello.name == self.options.name:
+            return f"{hello.name} is this keeper's own name"
+        peer = self.keeper.agree.config.get(hello.name)
+        if peer is not None and peer.disk and peer.disk != hello.disk:
+            return (
+                f"{hello.name} has the disk {hello.disk}, the cluster knows {peer.disk}: replace the keeper"
+            )
+        if not self.store.meet(hello.disk, hello.boot):
+            return f"{hello.name} has an old copy of its disk: replace the keeper"
+        return ""
+
+    def _hello(self, wire: Wire, number: int, hello: f.Hello) -> None:
+        reason = self._admit(hello)
+        if reason:
+            self._alarm(f"a connection of {hello.name} is refused: {reason}")
+            wire.refuse(reason)
+            return
+        dialled = wire.name != ""
+        wire.name = hello.name
+        if hello.role != "keeper":
+            self.askers[wire] = hello.name
+            return
+        before = self.wires.pop(hello.name, None)
+        if before is not None and before is not wire:
+            before.end("replaced by a newer connection")
+        self.dialling.pop(hello.name, None)
+        self.wires[hello.name] = wire
+        if not dialled:
+            self._greet(wire)
+
+    def _refused(self, wire: Wire, number: int, word: f.Refused) -> None:
+        self._alarm(f"refused by {wire.name}: {word.reason}")
+        wire.end(word.reason)
+
+    def _heard(self, wire: Wire, number: int, word: object) -> None:
+        known = self._words.get(type(word))
+        if known is not None:
+            known(wire, number, word)
+        elif wire in self.askers:
+            self._asked(wire, number, word)
+        elif self.wires.get(wire.name) is wire:
+            self._take(self.keeper.heard(self.turn.now(), wire.name, word))
+        else:
+            wire.end("no hello came first")
+
+    def _asked(self, wire: Wire, number: int, word: object) -> None:
+        if not isinstance(word, f.Ask):
+            wire.end("not a request")
+            return
+        self._count += 1
+        self.tokens[self._count] = wire, number
+        self._take(self.keeper.asked(self.turn.now(), self._count, word))
+
+    def _ended(self, wire: Wire, reason: str) -> None:
+        if self.wires.get(wire.name) is wire:
+            del self.wires[wire.name]
+        if self.dialling.get(wire.name) is wire:
+            del self.dialling[wire.name]
+        if self.askers.pop(wire, None) is not None:
+            self.tokens = {token: found for token, found in self.tokens.items() if found[0] is not wire}
+
+    # Listening.
+
+    @callback
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                sock, _ = self._socket.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                say("accept-failed", reason=error.strerror, listener="keeper")
+                self._accept_off()
+                self.deadlines.add(self.turn.now() + ACCEPT_AGAIN_US, self._accept_on)
+                return
+            sock.setblocking(False)
+            wire = Wire(self.turn, self._heard, self._ended)
+            opening = self.loop.connect_accepted_socket(lambda wire=wire: wire, sock)
+            self.loop.create_task(opening).add_done_callback(self._opened)
+            self.deadlines.add(self.turn.now() + HELLO_US, lambda now, wire=wire: self._no_hello(wire))
+
+    def _opened(self, task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            say("session-not-opened", reason=task.exception(), listener="keeper")
+
+    def _no_hello(self, wire: Wire) -> None:
+        if not wire.name:
+            wire.end("no hello")
+
+    def abort(self) -> None:
+        """Nothing to end: `callback` asks for it."""
+
+    def run(self) -> int:
+        """Serve until a signal; the exit code. Raises OSError where the address cannot be had."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self._terminate)
+        listen = Address.parse(self.options.listen)
+        self._socket = listening_socket(listen, BACKLOG)
+        self.port = self._socket.getsockname()[1]
+        self._accept_on()
+        self._tell_store()
+        self._dial_again(self.turn.now())
+        self._arm()
+        self.turn.end()
+        say("keeper-serves", name=self.options.name, cluster=self.options.cluster, host=listen.host,
+            port=self.port)  # fmt: skip
+        self.loop.run_forever()
+        self.store.close()
+        say("ended", name=self.options.name)
+        return self.code
+
+    def _tell_store(self) -> None:
+        told, saved = self.store.told, self.store.saved
+        say("keeper-store", disk=self.store.identity.disk, boot=self.store.identity.boot,
+            index=saved.entries[-1].index if saved.entries else saved.snapshot.index)  # fmt: skip
+        if told.torn:
+            say("keeper-torn", bytes=told.torn)
+        if saved.doubtful:
+            say(
+                "keeper-doubtful",
+                reason="its last record is damaged" if told.damaged else "its disk is empty",
+            )
+
+    def _terminate(self) -> None:
+        """Hand the lead over first, so that nobody has to miss a leader."""
+        if self.keeper.leads and len(self.keeper.agree.voters) > 1:
+            self._take(self.keeper.hand_over(self.turn.now()))
+            self.deadlines.add(self.turn.now() + 300_000, lambda now: self.loop.stop())
+            self.turn.end()
+        else:
+            self.loop.stop()
+
+    @staticmethod
+    def _exception(loop, context: dict) -> None:
+        say("loop", context.get("exception"), what=context.get("message"))
+
+
+def initialise(options: KeeperOptions, backup: bytes = b"", files: Files | None = None) -> None:
+    """Format this keeper's disk for a new cluster, or one restored; raises StoreError (not empty) or
+    OSError.
+    """
+    store = Store(files or Files(options.data), options.cluster, options.name,
+                  disk_name(options.cluster, options.name))
+    try:
+        if not store.fresh:
+            raise StoreError(f"{options.data}: holds the disk {store.identity.disk} already")
+        store.put_snapshot(first_snapshot(options, backup), [])
+    finally:
+        store.close()
+
+
+def main(options: KeeperOptions, log_format: str = "text", files: Files | None = None) -> int:
+    """Run a keeper; the exit code: 0 ended by a signal, 2 it could not start, 3 its disk failed."""
+    log.begin(log_format)
+    try:
+        return KeeperProcess(options, files).run()
+    except (StoreError, OSError) as error:
+        print(f"cedarmill: {error}", file=sys.stderr)
+        return 2
--- /dev/null
+++ b/cedarmill/net/member.py
@@ -0,0 +1,191 @@
+"""A member's session on sockets: one connection to a keeper at a time, and an ear for members that look."""
+
+from collections.abc import Callable
+
+from cedarmill.fleet import words as f
+from cedarmill.fleet.agent import Agent, Dial, Facts, Follow, Glance, Lapse, Resume, Say, Who
+from cedarmill.log import say
+from cedarmill.net.config import Address
+from cedarmill.net.listening import Accepting, listening_socket
+from cedarmill.net.peers import Wire
+from cedarmill.net.turn import Turn, callback
+
+GLANCE_US = 800_000  # for a member that is looked at to answer
+PINGERS = 64  # connections of members that look, at once
+LEAVE_US = 300_000  # for a keeper to hear that this life ends
+
+
+class Membership(Accepting):
+    """Keeps the session of this process; `follow`, `lapsed` and `resumed` are its owner's."""
+
+    def __init__(
+        self,
+        turn: Turn,
+        cluster: str,
+        who: Who,
+        keepers: dict[str, Address],
+        facts: Callable[[], Facts],
+        follow: Callable[[f.Orders], None],
+        lapsed: Callable[[], None] = lambda: None,
+        resumed: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.turn, self.cluster, self.who, self.keepers = turn, cluster, who, keepers
+        first = sum(who.name.encode())
+        self.agent = Agent(who, sorted(keepers), facts, turn.now(), first)
+        self.follow, self.lapsed, self.resumed = follow, lapsed, resumed
+        self.wire: Wire | None = None
+        self.port = 0
+        self._asked: dict[
+            int, tuple[Callable[[object], None], object]
+        ] = {}  # answer's taker, and its deadline
+        self._count = 0
+        self._timer = None
+        self._pings: set[Wire] = set()
+        self._carry_out = {
+            Dial: self._dial,
+            Say: self._say,
+            Follow: self._follow,
+            Glance: self._glance,
+            Lapse: lambda action: self._lapsed(),
+            Resume: lambda action: self._resumed(),
+        }
+
+    def listen(self, address: Address) -> None:
+        """Where members look; raises OSError."""
+        self._socket = listening_socket(address, PINGERS)
+        self.port = self._socket.getsockname()[1]
+        self._accept_on()
+
+    def start(self) -> None:
+        """Begin to beat."""
+        self._passed(self.turn.now())
+
+    def holds(self) -> bool:
+        """Whether the lease holds at this moment."""
+        return self.agent.holds(self.turn.now())
+
+    def _passed(self, now: int) -> None:
+        self._do(self.agent.passed(now))
+
+    def _do(self, actions: list) -> None:
+        for action in actions:
+            self._carry_out[type(action)](action)
+        self.turn.deadlines.cancel(self._timer)
+        at = max(self.agent.due, self.turn.now() + 1000)
+        self._timer = self.turn.deadlines.add(at, self._passed)
+
+    def _lapsed(self) -> None:
+        say("lease-lapsed")
+        self.lapsed()
+
+    def _resumed(self) -> None:
+        say("lease-holds", epoch=self.agent.epoch)
+        self.resumed()
+
+    def _follow(self, action: Follow) -> None:
+        self.follow(action.orders)
+
+    # The keeper.
+
+    def _dial(self, action: Dial) -> None:
+        if self.wire is not None:
+            before, self.wire = self.wire, None
+            before.end("another keeper is tried")
+        self.wire = Wire(self.turn, self._heard, self._ended, self._greet)
+        self.wire.name = action.keeper
+        self.wire.dial(self.keepers[action.keeper])
+
+    def _greet(self, wire: Wire) -> None:
+        wire.say(0, f.Hello(self.cluster, self.who.name, "client"))
+
+    def _say(self, action: Say) -> None:
+        if self.wire is not None:
+            self.wire.say(0, action.ask)  # lost where the connection is not up yet: the next beat tells it
+
+    def _heard(self, wire: Wire, number: int, word: object) -> None:
+        if wire is not self.wire:
+            return
+        if isinstance(word, f.Refused):
+            say("keeper-refuses", keeper=wire.name, reason=word.reason)
+            wire.end(word.reason)
+            return
+        taker = self._asked.pop(number, None) if number else None
+        if taker is not None:
+            self.turn.deadlines.cancel(taker[1])
+            taker[0](word)
+        elif not number:
+            self._do(self.agent.heard(self.turn.now(), word))
+
+    def _ended(self, wire: Wire, reason: str) -> None:
+        if wire is self.wire:
+            self.wire = None
+            self._do(self.agent.broken(self.turn.now()))
+
+    def ask(self, ask: f.Ask, wait_us: int, taker: Callable[[object], None]) -> None:
+        """Ask the keeper dialled; the taker gets its answer, or NotHere after `wait_us`."""
+        self._count += 1
+        number = self._count
+        late = self.turn.deadlines.add(self.turn.now() + wait_us, lambda now: self._late(number))
+        self._asked[number] = taker, late
+        if self.wire is None or not self.wire.say(number, ask):
+            self._late(number)
+
+    def _late(self, number: int) -> None:
+        taker = self._asked.pop(number, None)
+        if taker is not None:
+            self.turn.deadlines.cancel(taker[1])
+            taker[0](f.NotHere("no keeper answered in time"))
+
+    def leave(self) -> None:
+        """This life ends and has nothing out: say so once more."""
+        self._do(self.agent.leave(self.turn.now()))
+
+    # Looking at others, and being looked at.
+
+    def _glance(self, action: Glance) -> None:
+        _, _, life = action.key.rpartition(":")
+
+        def heard(wire: Wire, number: int, word: object) -> None:
+            done(wire, isinstance(word, f.Pong) and word.life == life)
+
+        def done(wire: Wire, there: bool) -> None:
+            if wire in self._pings:
+                self._pings.discard(wire)
+                self.agent.reached(action.key, there)
+                wire.end("looked")
+
+        wire = Wire(
+            self.turn,
+            heard,
+            lambda wire, reason: done(wire, False),
+            lambda wire: wire.say(1, f.Ping(self.who.name)),
+        )
+        self._pings.add(wire)
+        try:
+            wire.dial(Address.parse(action.address))
+        except ValueError:
+            done(wire, False)
+            return
+        self.turn.deadlines.add(self.turn.now() + GLANCE_US, lambda now: done(wire, False))
+
+    @callback
+    def _accept(self) -> None:
+        try:
+            sock, _ = self._socket.accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        wire = Wire(self.turn, self._pinged, lambda wire, reason: self._pings.discard(wire))
+        if len(self._pings) >= PINGERS:
+            sock.close()
+            return
+        self._pings.add(wire)
+        self.turn.loop.create_task(self.turn.loop.connect_accepted_socket(lambda: wire, sock))
+        self.turn.deadlines.add(self.turn.now() + GLANCE_US, lambda now: wire.end("late"))
+
+    def _pinged(self, wire: Wire, number: int, word: object) -> None:
+        if isinstance(word, f.Ping):
+            wire.say(number, f.Pong(self.who.name, self.who.life))
+
+    def abort(self) -> None:
+        """Nothing to end: `callback` asks for it."""
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -27,6 +27,7 @@
 from cedarmill.values import Options
 
 OWN_DESCRIPTORS = 24  # the loop's, the log, the listening socket, the director: 14 were counted
+FLEET_DESCRIPTORS = 8  # a keeper, the listener for looks and some that look
 HEALTH_DESCRIPTORS = 33  # of a listener for checkers: its socket and 32 sessions
 OWN_MEMORY_MB = 24  # measured: 16 to 20 before the first session
 SESSION_MB = 0.096  # measured: 0.07 with a body of 64 KiB that waits for its end
@@ -54,6 +55,7 @@
         sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         health = options.health
         own = OWN_DESCRIPTORS + (door.DESCRIPTORS if config.mgmt else 0)
+        own += FLEET_DESCRIPTORS if options.fleet is not None else 0
         own += HEALTH_DESCRIPTORS * sum(map(bool, (health.agent, health.http, health.grpc)))
         self.limits = Limits(sockets, own, config.limits.memory_mb, OWN_MEMORY_MB, SESSION_MB)
         room = share(self.limits, [])
@@ -73,6 +75,13 @@
         self.door = door.Door(self.turn, self.hands.obey)
         self.inherited = inherited_socket()
         self.keeper = Keeper(self.turn, brain, self.director, config.name, lambda: self.draining)
+        self.fleet = self._fleet() if options.fleet is not None else None
+
+    def _fleet(self):
+        """The node's part in the fleet; the platform's run has none, and loads nothing of it."""
+        from cedarmill.net.fleet import NodeFleet
+
+        return NodeFleet(self.turn, self.config, self.options.fleet, self.clients, self.director, self.hands)
 
     def _holds(self) -> Room:
         """What counts against the node's limits, for its other processes."""
@@ -121,6 +130,8 @@
         if self.inherited is not None:  # a second process can be started beside this one
             self.keeper.start()  # before the list: an heir asks discovery at once
         self.director.first(self.config.known)
+        if self.fleet is not None:
+            self.fleet.start()
         if self.inherited is not None:
             self.beside.start()
         self.deadlines.add(self.turn.now() + self.options.ledger_every_us, self._account_again)
@@ -190,10 +201,16 @@
     def _end_if_done(self, now: int) -> None:
         self.clients.close_idle()
         if self.dispatch.owed == 0 and self.clients.all_gone():
-            self.loop.stop()
+            self._leave()
         else:
             self.deadlines.add(now + CHECK_END_US, self._end_if_done)
 
+    def _leave(self) -> None:
+        if self.fleet is not None:
+            self.fleet.leave(self.loop.stop)
+        else:
+            self.loop.stop()
+
     @staticmethod
     def _exception(loop, context: dict) -> None:
         say("loop", context.get("exception"), what=context.get("message"))
--- /dev/null
+++ b/cedarmill/net/steward.py
@@ -0,0 +1,277 @@
+"""A steward's process: it starts, replaces and stops the units of one machine by the fleet's word.
+
+It holds each unit's listening socket and hands it to every process of the unit, as in an upgrade, so that no
+connection is refused. Processes outlive their steward; the next one takes them over by id and start time. It
+cannot take a socket over from a dead steward: the next change of such a unit stops the old process first.
+"""
+
+import contextlib
+import http.client
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import uvloop
+
+from cedarmill import log
+from cedarmill.core.deadlines import Deadlines
+from cedarmill.fleet import words as f
+from cedarmill.fleet.agent import Facts, Who
+from cedarmill.fleet.stewarding import Acted, Keep, Process, Start, Steward, Stop
+from cedarmill.log import say
+from cedarmill.net.config import Address
+from cedarmill.net.listening import listening_socket
+from cedarmill.net.member import Membership
+from cedarmill.net.turn import Turn
+from cedarmill.store.files import Files
+from cedarmill.values import StewardOptions, UnitOptions
+
+LOOK_US = 100_000  # between two looks at processes
+READY_S = 0.5  # for a process's door to answer
+DOOR_WORDS = "operators' door on "
+KEPT = "units.json"
+BACKLOG = 1024
+
+
+def start_ticks(pid: int) -> str:
+    """When a process began, as the system counts; empty where there is none, or it has only to be reaped."""
+    try:
+        text = Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return ""
+    fields = text[text.rindex(")") + 2 :].split()
+    return "" if fields[0] == "Z" else fields[19]
+
+
+class Unit:
+    """A unit's settings, its listening socket, and the processes that are this steward's children."""
+
+    def __init__(self, options: UnitOptions) -> None:
+        self.options = options
+        self.socket: socket.socket | None = None
+        self.children: dict[str, subprocess.Popen] = {}
+        self.ticks: dict[str, str] = {}  # by life
+
+    def hold(self) -> str:
+        """Hold the listening socket; why not, where that cannot be yet."""
+        if self.socket is not None:
+            return ""
+        try:
+            self.socket = listening_socket(Address.parse(self.options.listen), BACKLOG)
+        except OSError as error:
+            return f"{self.options.listen}: {error.strerror}"
+        return ""
+
+
+class StewardProcess:
+    """The steward of one machine on one loop."""
+
+    def __init__(self, options: StewardOptions) -> None:
+        """Take up what the steward before has left; raises ValueError or OSError."""
+        self.options = options
+        self.loop = uvloop.new_event_loop()
+        self.deadlines = Deadlines()
+        self.turn = Turn(self.loop, self.deadlines)
+        self.files = Files(options.data)
+        self.units = {one.name: Unit(one) for one in options.units}
+        kept = Path(self.files.path(KEPT)).read_bytes() if self.files.exists(KEPT) else b""
+        self.core = Steward(
+            {one.name: one.version for one in options.units}, lambda: secrets.token_hex(6), kept
+        )
+        self.waiting: dict[str, Start] = {}  # starts that wait for their socket, by unit
+        self.orders: f.Orders | None = None
+        part = options.fleet
+        who = Who("steward", options.name, secrets.token_hex(6), address=part.listen)
+        keepers = {name: Address.parse(address) for name, address in part.keepers.items()}
+        self.membership = Membership(self.turn, part.cluster, who, keepers, self._facts, self._follow)
+        self._carry_out = {Start: self._start, Stop: self._stop, Keep: self._keep, Acted: self._acted}
+        self.code = 0
+
+    def run(self) -> int:
+        """Serve until a signal; units go on. The exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.loop.stop)
+        if self.options.fleet.listen:
+            self.membership.listen(Address.parse(self.options.fleet.listen))
+        self._do(self.core.begin(self.turn.now(), self._adopt))
+        self._look(self.turn.now())
+        self.membership.start()
+        say("steward-serves", name=self.options.name, units=", ".join(self.units))
+        self.turn.end()
+        self.loop.run_forever()
+        say("ended", name=self.options.name)
+        return self.code
+
+    # The fleet.
+
+    def _facts(self) -> Facts:
+        return Facts(units=self.core.told(), ended=list(self.core.ended))
+
+    def _follow(self, orders: f.Orders) -> None:
+        self.orders = orders
+        self._obey()
+
+    def _obey(self) -> None:
+        """What is ordered and not done yet, while the lease holds at this moment."""
+        if self.orders is None:
+            return
+        now = self.turn.now()
+        known = {name: told for name, told in self.orders.units.items()
+                 if name in self.units and told[0] in self.units[name].options.commands}  # fmt: skip
+        for name in self.orders.units.keys() - known.keys():
+            if name in self.units:
+                say("steward-waits", unit=name, reason=f"no command for version {self.orders.units[name][0]}")
+        self._do(self.core.order(now, known, self.membership.agent.lease_till))
+
+    # Processes.
+
+    def _do(self, actions: list) -> None:
+        for action in actions:
+            self._carry_out[type(action)](action)
+
+    def _acted(self, action: Acted) -> None:
+        say("steward-acts", unit=action.unit, epoch=action.epoch, left=action.left)
+
+    def _keep(self, action: Keep) -> None:
+        """Before what follows of it; a steward that cannot keep it must not go on."""
+        try:
+            self.files.replace(KEPT, action.text)
+        except OSError as error:
+            say("keeper-disk", reason=error.strerror or error)
+            self.code = 3
+            self.loop.stop()
+            raise
+
+    def _start(self, action: Start) -> None:
+        unit = self.units[action.unit]
+        reason = unit.hold()
+        if reason:  # the process before still has it, and its steward has died
+            say("steward-waits", unit=action.unit, reason=reason)
+            self.waiting[action.unit] = action
+            self._stop_others(action)
+            return
+        self.waiting.pop(action.unit, None)
+        env = {**os.environ, **unit.options.env, "LB_SOCKET_FD": str(unit.socket.fileno()),
+               "LB_MGMT": "127.0.0.1:0", "CEDARMILL_LIFE": action.life, "CEDARMILL_VERSION": action.version}
+        with open(self._log_path(action.unit, action.life), "ab") as out:
+            child = subprocess.Popen(
+                unit.options.commands[action.version], env=env, stdin=subprocess.DEVNULL, stdout=out,
+                stderr=out,
+                pass_fds=(unit.socket.fileno(),), start_new_session=True)
+        unit.children[action.life] = child
+        unit.ticks[action.life] = start_ticks(child.pid)
+        say("steward-starts", unit=action.unit, version=action.version, life=action.life, pid=child.pid)
+        self._do(self.core.started(action.unit, action.life, child.pid))
+
+    def _stop_others(self, action: Start) -> None:
+        for life, process in self.core.units[action.unit].lives.items():
+            if life != action.life and process.pid and not process.stopping:
+                process.stopping = True
+                self._signal(action.unit, process, signal.SIGTERM)
+
+    def _stop(self, action: Stop) -> None:
+        say("steward-stops", unit=action.unit, life=action.life)
+        process = self.core.units[action.unit].lives[action.life]
+        self._signal(action.unit, process, signal.SIGTERM)
+
+    def _signal(self, unit: str, process: Process, number: int) -> None:
+        """Only to a process that is ours still: its id may have become another's."""
+        if process.pid and self._alive(unit, process):
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, number)
+
+    def _alive(self, unit: str, process: Process) -> bool:
+        child = self.units[unit].children.get(process.life)
+        if child is not None:
+            return child.poll() is None
+        ticks = start_ticks(process.pid) if process.pid else ""
+        return ticks != "" and ticks == self.units[unit].ticks.get(process.life, ticks)
+
+    def _adopt(self, process: Process) -> bool:
+        """Whether a process that the steward before started lives: by its id, and its life in its
+        environment.
+        """
+        if not process.pid or not start_ticks(process.pid):
+            return False
+        try:
+            env = Path(f"/proc/{process.pid}/environ").read_bytes().split(b"\0")
+        except OSError:
+            return False
+        if f"CEDARMILL_LIFE={process.life}".encode() not in env:
+            return False
+        for name, unit in self.core.units.items():
+            if process.life in unit.lives:
+                self.units[name].ticks[process.life] = start_ticks(process.pid)
+                say("steward-adopts", unit=name, life=process.life, pid=process.pid)
+        return True
+
+    def _look(self, now: int) -> None:
+        """Ten times a second: who has ended, who is ready, what is to be started anew."""
+        self.deadlines.add(now + LOOK_US, self._look)
+        for name, unit in self.core.units.items():
+            for life, process in list(unit.lives.items()):
+                if process.pid and not self._alive(name, process):
+                    self._ended(name, life)
+            if unit.current and not unit.ready and self._ready(name, unit.current):
+                say("steward-ready", unit=name, life=unit.current, version=unit.version)
+                self._do(self.core.ready(now, name, unit.current))
+        for process in self.core.to_kill(now):
+            for name, unit in self.core.units.items():
+                if process.life in unit.lives:
+                    self._signal(name, process, signal.SIGKILL)
+        for action in list(self.waiting.values()):
+            if self.core.units[action.unit].current == action.life:
+                self._start(action)
+            else:
+                del self.waiting[action.unit]
+        self._do(self.core.passed(now))
+        self._obey()
+
+    def _ended(self, name: str, life: str) -> None:
+        child = self.units[name].children.pop(life, None)
+        self.units[name].ticks.pop(life, None)
+        say("steward-ended", unit=name, life=life, code="?" if child is None else child.returncode)
+        self._do(self.core.exited(self.turn.now(), name, life))
+
+    def _log_path(self, unit: str, life: str) -> str:
+        return self.files.path(f"{unit}-{life}.log")
+
+    def _ready(self, unit: str, life: str) -> bool:
+        """Whether that very process says so at its own door: the clients' socket may be answered by
+        another.
+        """
+        port = self._door(unit, life)
+        if not port:
+            return False
+        call = http.client.HTTPConnection("127.0.0.1", port, timeout=READY_S)
+        try:
+            call.request("GET", "/api/ready")
+            return call.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            call.close()
+
+    def _door(self, unit: str, life: str) -> int:
+        """The port of a process's door, as its log tells it."""
+        try:
+            text = Path(self._log_path(unit, life)).read_text(errors="replace")
+        except OSError:
+            return 0
+        _, found, rest = text.partition(DOOR_WORDS)
+        words = rest.split("\n", 1)[0].split()
+        return int(words[2]) if found and len(words) > 2 and words[2].isdecimal() and "\n" in rest else 0
+
+
+def main(options: StewardOptions, log_format: str = "text") -> int:
+    """Run a steward; the exit code: 0 ended by a signal, 2 it could not start, 3 its disk failed."""
+    log.begin(log_format)
+    try:
+        return StewardProcess(options).run()
+    except (ValueError, OSError) as error:
+        print(f"cedarmill: {options.data}: {error}", file=sys.stderr)
+        return 2
--- a/cedarmill/values.py
+++ b/cedarmill/values.py
@@ -49,6 +49,63 @@
     grpc: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class FleetOptions:
+    """A node's part in a fleet; without it none of it is loaded."""
+
+    cluster: str
+    keepers: dict[str, str]  # by name, HOST:PORT as this node reaches them
+    listen: str = ""  # HOST:PORT where members look whether it is there; empty: nobody can
+    cut_off: str = "serve"  # what it does once its lease has run out: or `stop`
+    start: str = "wait"  # a new process sends nothing before it has heard what is out: or `alone`
+
+
+@dataclass(frozen=True, slots=True)
+class LimitOptions:
+    """What may be out at once; shares in thousandths, -1: not set (docs/operators/drains.md)."""
+
+    kind: str
+    per: str
+    most: int = -1
+    share: int = -1
+    capacity_left: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperOptions:
+    """One keeper; `peers` are all keepers, this one too, as this one reaches them."""
+
+    cluster: str
+    name: str
+    listen: str
+    data: str
+    peers: dict[str, str]
+    limits: tuple[LimitOptions, ...] = ()  # that a new cluster begins with
+    cold_us: int = 8_900_000  # that a returned executor counts in part (brief)
+    cold_share: int = 300  # thousandths of its slots that it has at first (brief)
+
+
+@dataclass(frozen=True, slots=True)
+class UnitOptions:
+    """One process that a steward runs."""
+
+    name: str
+    version: str  # that runs until a release says otherwise
+    listen: str  # the clients' socket: held by the steward, inherited by the process
+    commands: dict[str, tuple[str, ...]]  # by version
+    env: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class StewardOptions:
+    """What one machine runs."""
+
+    name: str
+    data: str
+    fleet: FleetOptions
+    units: tuple[UnitOptions, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Options:
     """All settings that are ours."""
@@ -57,6 +114,7 @@
     health: HealthOptions = field(default_factory=HealthOptions)
     kinds: dict[str, KindOptions] = field(default_factory=dict)  # `*` stands for all that are not named
     ledger_every_us: int = 60_000_000  # between two events that tell what was spent for nobody
+    fleet: FleetOptions | None = None
 
     def kind(self, name: str) -> KindOptions:
         """What holds for a kind of backend."""
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -89,7 +89,7 @@
         self.assertEqual(shipped.options.ledger_every_us, Options().ledger_every_us)
         unset = [held.name for held in shipped.held if held.origin == "default"]
         off = [f"health.{kind}.listen" for kind in ("agent", "http", "grpc")]
-        self.assertEqual(unset, off)  # no words in the file say it
+        self.assertEqual(unset, [*off, "fleet"])  # no words in the file say it
 
     @given(st.integers(0, 10**12))
     def test_durations_are_written_as_they_are_read(self, us: int):
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -23,6 +23,15 @@
 from cedarmill.values import DeadlineOptions
 
 
+class Told:
+    """Takes the answer to a call."""
+
+    status = 0
+
+    def __call__(self, status: int, text: bytes) -> None:
+        self.status = status
+
+
 class Calls(unittest.TestCase):
     """The table of calls, without a node."""
 
@@ -34,9 +43,14 @@
         self.assertEqual(door.understand(b"PUT", b"/api/rejoin").act, door.Act.REJOIN)
 
     def test_wrong_paths_methods_and_ids_are_refused(self):
-        for method, target, status in ((b"GET", b"/api/evacuate", 405), (b"PUT", b"/api/ready", 405),
-                                       (b"POST", b"/api/exclude/s-1", 405), (b"GET", b"/api", 404),
-                                       (b"PUT", b"/api/exclude/", 404), (b"PUT", b"/api/exclude/a/b", 404)):
+        for method, target, status in (
+            (b"GET", b"/api/evacuate", 405),
+            (b"PUT", b"/api/ready", 405),
+            (b"POST", b"/api/exclude/s-1", 405),
+            (b"GET", b"/api", 404),
+            (b"PUT", b"/api/exclude/", 404),
+            (b"PUT", b"/api/exclude/a/b", 404),
+        ):
             with self.subTest(target=target), self.assertRaises(door.Refused) as raised:
                 door.understand(method, target)
             self.assertEqual(raised.exception.status, status)
@@ -121,7 +135,7 @@
             hands.kept = kept
             hands.start()
             for number in range(10):
-                hands.obey(door.Call(door.Act.EXCLUDE if number % 2 else door.Act.INCLUDE, "s-1"))
+                hands.obey(door.Call(door.Act.EXCLUDE if number % 2 else door.Act.INCLUDE, "s-1"), Told())
             before = kept.looks
             turn.run_till(20 * LOOK_US)
             self.assertEqual(kept.looks - before, 20)
@@ -157,11 +171,13 @@
     @staticmethod
     def mark(hands: Hands, names: list[str]) -> None:
         for name in names:
-            hands.obey(door.Call(door.Act.EXCLUDE, name))
+            hands.obey(door.Call(door.Act.EXCLUDE, name), Told())
 
     def test_a_mark_that_cannot_be_kept_is_not_made(self):
         self.old.kept = KeptFile("/proc/none/kept.json")
-        self.assertEqual(self.old.obey(door.Call(door.Act.EXCLUDE, "s-1"))[0], 503)
+        told = Told()
+        self.old.obey(door.Call(door.Act.EXCLUDE, "s-1"), told)
+        self.assertEqual(told.status, 503)
         self.assertEqual(self.old.exclusions.since, {})
 
 
@@ -272,7 +288,6 @@
         self.assertEqual(call(self.door, "PUT", "/api/rejoin")[0], 200)
         self.assertEqual(self.ready(), 200)
 
-
     def test_rejoined_while_idle_connections_are_being_closed(self):
         """What is open then stays, and the closing does not come back."""
         gone = self.client()
--- a/tests/test_fleet_lab.py
+++ b/tests/test_fleet_lab.py
@@ -15,8 +15,9 @@
 from cedarmill.lab.fleet.links import LinkFault, Links
 from cedarmill.lab.fleet.report import write
 from cedarmill.lab.fleet.run import play
-from cedarmill.lab.fleet.scenario import Limit, read, shipped
+from cedarmill.lab.fleet.scenario import read, shipped
 from cedarmill.lab.story import Visit
+from cedarmill.values import LimitOptions as Limit
 
 PLACES = {f"box-{n}": {"kind": "executor", "zone": f"zone-{n % 2}"} for n in range(6)}
 LIMITS = (Limit("executor", "fleet", most=2), Limit("executor", "zone", most=1))
