--- a/cedarmill/cli/fleet.py
+++ b/cedarmill/cli/fleet.py
@@ -455,6 +455,10 @@
     )
     for state, units in states.items():
         yield f"  {state}: {', '.join(units)}"
+    for side in ("new", "rest"):
+        if one[side]:
+            jobs, failed, late, refused = one[side]
+            yield f"  {side}: {jobs} jobs, {failed} failed, {late} late, {refused} refused"
     for why in one["why"][-3:]:
         yield f"  {why}"
 
--- a/cedarmill/fleet/agent.py
+++ b/cedarmill/fleet/agent.py
@@ -180,10 +180,11 @@
         )
 
     def broken(self, now: int) -> list:
-        """The connection has gone, or was refused: the next keeper, at the next beat."""
-        actions = self._look(now) + self._dial(now)
+        """The connection has gone, or was refused: the next keeper, at the next beat and not sooner."""
+        if self._dialled:
+            self._dialled, self.at = False, (self.at + 1) % len(self.keepers)
         self.next_beat = max(now + BEAT // 2, self.next_beat)
-        return actions
+        return self._look(now)
 
     def heard(self, now: int, answer: f.Answer) -> list:
         """A keeper has answered."""
--- a/cedarmill/fleet/commands.py
+++ b/cedarmill/fleet/commands.py
@@ -97,6 +97,7 @@
 
     release: int
     worse: str
+    jobs: int = 0  # of the smaller side
 
 
 class SetUp(Command, tag="setup", frozen=True):
@@ -366,7 +367,7 @@
 
 def _judged(world: World, c: Judged) -> None:
     if (found := world.releases.get(c.release)) is not None:
-        release.judged(world, found, c.worse)
+        release.judged(world, found, c.worse, c.jobs)
 
 
 def _set_up(world: World, c: SetUp) -> None:
--- a/cedarmill/fleet/compare.py
+++ b/cedarmill/fleet/compare.py
@@ -29,6 +29,33 @@
         return Counts(*(max(0, a - b) for a, b in zip(self, other, strict=True)))
 
 
+class Sides:
+    """What the new version and the rest have done since a release is compared, node by node."""
+
+    def __init__(self, counts: dict[str, Counts]) -> None:
+        self.base = dict(counts)  # by node: what it had done when it began to be compared as what it is
+        self.fresh: set[str] = set()
+        self.last: dict[str, Counts] = {}  # by node of the rest: what it had done when last seen
+        self.kept = Counts()  # of nodes that were of the rest and are no more
+        self.new, self.rest = Counts(), Counts()
+
+    def look(self, counts: dict[str, Counts], fresh: set[str]) -> None:
+        """Counts by node, of its newest process; and which nodes run the new version."""
+        for name in fresh - self.fresh:
+            self.kept = self.kept.plus(self.last.pop(name, Counts()))
+            self.base[name] = counts.get(name, Counts())
+        self.fresh |= fresh
+        new, rest = Counts(), self.kept
+        for name, count in counts.items():
+            since = count.less(self.base.get(name, Counts()))
+            if name in fresh:
+                new = new.plus(since)
+            elif name not in self.fresh:
+                self.last[name] = since
+                rest = rest.plus(since)
+        self.new, self.rest = new, rest
+
+
 def _log_choose(n: int, k: int) -> float:
     return math.lgamma(n + 1) - math.lgamma(k + 1) - math.lgamma(n - k + 1)
 
--- a/cedarmill/fleet/keeper.py
+++ b/cedarmill/fleet/keeper.py
@@ -51,7 +51,7 @@
         self.sights = Sights()
         self.looked = now
         self.compared = now
-        self.bases: dict[int, dict[str, compare.Counts]] = {}
+        self.sides: dict[int, compare.Sides] = {}  # of releases that are being compared
         self._tokens = 0
         self._waits: dict[int, tuple[int, f.Ask]] = {}  # our token: the asker's, and what it asked
         self._placed: dict[int, tuple[int, int, f.Ask]] = {}  # index: term, the asker's token, what it asked
@@ -198,7 +198,7 @@
             self.led_from, self.clock_then = now, self.world.clock
             self.sessions, self.sights = Sessions(now), Sights()
             self.looked = now
-            self.bases.clear()
+            self.sides.clear()
         else:
             for token, _ in self._waits.values():
                 self._reply(token, f.NotHere("no longer the leader", action.leader))
@@ -427,25 +427,17 @@
 
     def _compare(self, now: int) -> None:
         going = {r.id for r in release.comparing(self.world)}
-        for number in [number for number in self.bases if number not in going]:
-            del self.bases[number]
+        for number in [number for number in self.sides if number not in going]:
+            del self.sides[number]
         counts = self._counts()
         for number in sorted(going):
             found = self.world.releases[number]
-            base = self.bases.setdefault(number, dict(counts))
-            new, rest = compare.Counts(), compare.Counts()
-            fresh = {step.unit for step in found.steps if step.state == "new"}
-            for name, count in counts.items():
-                if name in fresh and f"new {name}" not in base:
-                    base[name] = base[f"new {name}"] = count  # from when it was ready
-                since = count.less(base.get(name, compare.Counts()))
-                if name in fresh:
-                    new = new.plus(since)
-                else:
-                    rest = rest.plus(since)
-            why = compare.worse(found.plan, new, rest)
-            if why:
-                self._once(now, f"judged {number}", commands.Judged(self.clock(now), number, why))
+            side = self.sides.setdefault(number, compare.Sides(counts))
+            side.look(counts, {step.unit for step in found.steps if step.state == "new"})
+            why = compare.worse(found.plan, side.new, side.rest)
+            enough = min(side.new.jobs, side.rest.jobs)
+            if why or found.compared < found.plan.sample <= enough:
+                self._once(now, f"judged {number}", commands.Judged(self.clock(now), number, why, enough))
 
     def _counts(self) -> dict[str, compare.Counts]:
         """Of each node's newest life."""
--- a/cedarmill/fleet/release.py
+++ b/cedarmill/fleet/release.py
@@ -57,6 +57,7 @@
 }
 ENDS = ("done", "backed")
 MANY_EXITS = 2  # ends that nobody asked for, of a unit that was just changed: one may be anybody's fault
+LONGEST_BAKE = 4  # times the bake of the plan, while too few jobs have come to compare
 PERMIT_WAIT = 3_600_000_000  # that a unit's request waits: a wave waits for room as long as it takes
 
 
@@ -201,7 +202,11 @@
 def _bake(world: World, release: Release) -> None:
     if not release.bake_from:
         release.bake_from = world.clock
-    if world.clock - release.bake_from >= release.plan.bake:
+    age = world.clock - release.bake_from
+    enough = release.compared >= release.plan.sample
+    if age >= release.plan.bake * (1 if enough else LONGEST_BAKE):
+        if not enough:
+            world.note(f"release {release.id}: too few jobs to compare, it goes on by readiness alone")
         release.group += 1
         release.bake_from, release.rest_till = 0, world.clock + release.plan.pause
         world.note(f"release {release.id}: group {release.group} of {len(release.plan.groups)} is through")
@@ -307,8 +312,9 @@
         unit.exits = exits if acted == unit.epoch else unit.exits
 
 
-def judged(world: World, release: Release, worse: str) -> None:
-    """The comparison of the new version with the rest has been made."""
+def judged(world: World, release: Release, worse: str, jobs: int) -> None:
+    """The comparison of the new version with the rest has been made, over so many jobs."""
+    release.compared = max(release.compared, jobs)
     if worse and release.state == "running":
         move(world, release, "worse", worse)
 
@@ -320,7 +326,7 @@
             if release.rest_till > world.clock:
                 yield release.rest_till
             if release.bake_from:
-                yield release.bake_from + release.plan.bake
+                yield from (release.bake_from + release.plan.bake * n for n in (1, LONGEST_BAKE))
         if release.state in ("running", "backing"):
             for step in release.steps:
                 if step.state in ("changing", "back-changing"):
--- a/cedarmill/fleet/views.py
+++ b/cedarmill/fleet/views.py
@@ -48,11 +48,14 @@
     return row
 
 
-def _release(world: World, found: Release) -> dict:
+def _release(keeper: "Keeper", found: Release) -> dict:
+    world = keeper.world
     row = msgspec.to_builtins(found)
     plan = found.plan
     row["plan"] = {"version": plan.version, "groups": plan.groups, "width": plan.width}
     row["age_s"] = round((world.clock - found.since) / 1e6, 1)
+    side = keeper.sides.get(found.id)
+    row["new"], row["rest"] = (list(side.new), list(side.rest)) if side is not None else ([], [])
     return row
 
 
@@ -76,6 +79,8 @@
     rows = []
     for member in keeper.world.members.values():
         row = msgspec.to_builtins(member)
+        session = keeper.sessions.by_key.get(member.key)
+        row["counts"] = list(session.counts) if session is not None else []
         row["heard_s"] = round((now - keeper.sessions.heard(member.key)) / 1e6, 2)
         rows.append(row)
     return rows
@@ -111,7 +116,7 @@
         "limits": lambda: _limits(world),
         "permits": lambda: [_permit(world, p) for p in world.permits.values() if not ask.names or p.id in
                             map(int, ask.names)],
-        "releases": lambda: [_release(world, r) for r in world.releases.values()],
+        "releases": lambda: [_release(keeper, r) for r in world.releases.values()],
         "units": lambda: list(world.units.values()),
         "log": lambda: world.log,
         "would": lambda: _would(world, ask),
--- a/cedarmill/fleet/world.py
+++ b/cedarmill/fleet/world.py
@@ -140,6 +140,7 @@
     bake_from: int = 0  # 0: the group is not complete yet
     rest_till: int = 0
     why: list[str] = msgspec.field(default_factory=list)
+    compared: int = 0  # jobs on the smaller side, when they were enough to compare
     touched: int = 0  # units that were started with the new version
 
     def step(self, unit: str) -> Step | None:
--- a/cedarmill/lab/fleet/badnode.py
+++ b/cedarmill/lab/fleet/badnode.py
@@ -1,5 +1,4 @@
-"""Bad versions of a node, for releases that have to be halted: never ready, ending by itself, failing jobs.
-"""
+"""Bad versions of a node, for releases that have to be halted: never ready, ending, failing jobs."""
 
 import os
 import random
--- a/cedarmill/lab/fleet/crew.py
+++ b/cedarmill/lab/fleet/crew.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import shutil
 import socket
 import sys
@@ -21,15 +22,18 @@
 CLUSTER = "lab"
 FIRST_VERSION = "v1"
 START_S = 30.0
+PORTS = (12_000, 32_000)  # below those that systems give to connections
 DOOR_WORDS = "operators' door on "
 BAD_VERSIONS = ("late", "exiting", "failing")
 COLD_S = 2  # that executors of the laboratory are cold
 
 
 def free_port() -> int:
-    """A port of loopback that nobody has now."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+    """A port of loopback that nobody has now, and that the system gives to nobody by itself."""
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 class Crew:
--- a/cedarmill/lab/fleet/faults.py
+++ b/cedarmill/lab/fleet/faults.py
@@ -1,7 +1,10 @@
 """The timeline of a run: faults on processes, links, disks and executors, and operators' acts."""
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+import contextlib
+import os
+import signal
+from collections.abc import Callable, Coroutine, Iterable
 from typing import TYPE_CHECKING
 
 import numpy
@@ -27,7 +30,9 @@
         self.dice = numpy.random.Generator(numpy.random.PCG64(run.seeds[4]))
         self._timers: list[asyncio.TimerHandle] = []
         self._tasks: set[asyncio.Task] = set()
-        self._paused: set[str] = set()
+        self._open: list[object] = []  # faults that have begun and not ended
+        self._endings: list[tuple[object, Callable[[], None]]] = []
+        self.stopped: set[int] = set()  # processes of units that stand still
 
     def plan(self, timeline: Iterable[Happening]) -> None:
         """Enter all of it."""
@@ -39,6 +44,19 @@
         wait = max(0.0, (at - self.run.clock()) / 1e6)
         self._timers.append(asyncio.get_running_loop().call_later(wait, call, *words))
 
+    def _ends(self, at: int, call: Callable, *words) -> None:
+        """What ends a fault: at its time, or when the run's faults are over, whichever comes first."""
+
+        def end() -> None:
+            if entry in self._open:
+                self._open.remove(entry)
+                call(*words)
+
+        entry = object()
+        self._open.append(entry)
+        self._endings.append((entry, end))
+        self._after(at, end)
+
     def _soon(self, coroutine: Coroutine) -> None:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
@@ -73,7 +91,7 @@
 
     def _names(self) -> list[str]:
         """All that may meet a fault, in an order that does not hang on when each started."""
-        return sorted({*self.run.processes, *self.run.executors})
+        return sorted({*self.run.processes, *self.run.executors, *self.run.crew.listens})
 
     def _matching(self, pattern: str) -> list[str]:
         """A name, several with blanks between them, or a kind with `-*`; `leader` is who leads now."""
@@ -96,6 +114,7 @@
     def _one_process(self, name: str, entry: Happening) -> None:
         process, fault = self.run.processes.get(name), entry.words["fault"]
         if process is None:
+            self._unit(name, entry)
             return
         self.run.history.tell("lab", fault, name, number=entry.lasts / 1e6)
         if fault == "start":
@@ -104,13 +123,36 @@
             (process.kill if fault == "kill" else process.term)()
             if entry.lasts:
                 again = self.run.start_again, name, entry.words.get("disk", "own")
-                self._after(entry.at + entry.lasts, lambda: self._soon(again[0](*again[1:])))
+                self._ends(entry.at + entry.lasts, lambda: self._soon(again[0](*again[1:])))
         elif fault == "pause":
             process.pause()
-            self._after(entry.at + entry.lasts, process.go_on)
+            self._ends(entry.at + entry.lasts, process.go_on)
         elif fault == "slow":
             process.slow(share(entry.words["size"]))
-            self._after(entry.at + entry.lasts, process.full_speed)
+            self._ends(entry.at + entry.lasts, process.full_speed)
+
+    def _unit(self, name: str, entry: Happening) -> None:
+        """A node that its steward has started: its processes are known by their ids."""
+        fault = entry.words["fault"]
+        numbers = {"kill": signal.SIGKILL, "term": signal.SIGTERM, "pause": signal.SIGSTOP}
+        if name not in self.run.crew.listens or fault not in numbers:
+            return
+        pids = self.run.crew.pids(name)
+        self.run.history.tell("lab", fault, name, number=entry.lasts / 1e6)
+        for pid in pids:
+            self._signal(pid, numbers[fault])
+            if fault == "pause":
+                self.stopped.add(pid)
+                self._ends(entry.at + entry.lasts, self._go_on, pid)
+
+    def _go_on(self, pid: int) -> None:
+        self.stopped.discard(pid)
+        self._signal(pid, signal.SIGCONT)
+
+    @staticmethod
+    def _signal(pid: int, number: int) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(pid, number)
 
     # Links.
 
@@ -134,7 +176,7 @@
         for direction in self.run.links.directions(source, target):
             direction.begin(fault)
             if entry.lasts:
-                self._after(entry.at + entry.lasts, direction.lift, fault.kind)
+                self._ends(entry.at + entry.lasts, direction.lift, fault.kind)
 
     def _partition(self, entry: Happening) -> None:
         """Among the keepers, with the members on either side."""
@@ -176,12 +218,12 @@
             if fault == "kill":
                 box.down(planned=False)
                 if entry.lasts:
-                    self._after(entry.at + entry.lasts, lambda box=box: self._soon(box.up()))
+                    self._ends(entry.at + entry.lasts, lambda box=box: self._soon(box.up()))
                 continue
             self.run.history.tell(name, "lost" if fault == "hang" else fault, name, note="fault")
             box.fault(fault, share(entry.words.get("size", "100%")))
             if entry.lasts:
-                self._after(entry.at + entry.lasts, self._well, box, fault)
+                self._ends(entry.at + entry.lasts, self._well, box, fault)
 
     def _well(self, box, fault: str) -> None:
         box.lift(fault)
@@ -190,11 +232,19 @@
     def _operator(self, entry: Happening) -> None:
         self.run.operators.act(entry)
 
-    def end(self) -> None:
-        """Nothing more happens."""
+    def heal(self) -> None:
+        """No more faults: those that have begun end now."""
         for timer in self._timers:
             timer.cancel()
+        for _, end in self._endings:
+            end()
+
+    def end(self) -> None:
+        """Nothing more happens."""
+        self.heal()
         for process in self.run.processes.values():
             process.full_speed()
+        for pid in list(self.stopped):
+            self._go_on(pid)
         for task in self._tasks:
             task.cancel()
--- a/cedarmill/lab/fleet/operators.py
+++ b/cedarmill/lab/fleet/operators.py
@@ -179,6 +179,11 @@
         units, version = self.run.nodes, words["version"]
         plan = Plan(version, ((units[0],), tuple(units[1:])), **PLAN)
         did = await self.ask(who, f.Do(commands.NewRelease(0, who, new_id(), plan)))
+        for _ in range(PATIENCE):  # units are known once their stewards have told of them
+            if did.ok:
+                break
+            await asyncio.sleep(LOOK_S)
+            did = await self.ask(who, f.Do(commands.NewRelease(0, who, new_id(), plan)))
         if not did.ok:
             self.run.history.tell(who, "release-refused", note=did.text)
             return
--- a/cedarmill/lab/fleet/run.py
+++ b/cedarmill/lab/fleet/run.py
@@ -43,6 +43,14 @@
     return float(body)
 
 
+class FleetLoad(Load):
+    """Each call on a connection of its own, node by node: one that has just started gets its part at once."""
+
+    def _idle(self) -> None:
+        while self.idle:
+            self.idle.pop().transport.close()
+
+
 class FleetRun:
     """One scenario, one seed."""
 
@@ -65,6 +73,7 @@
         self.operators = Operators(self)
         self.faults = Faults(self)
         self.ending = False
+        self.starting: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
 
     def clock(self) -> int:
@@ -165,8 +174,15 @@
 
     async def start_again(self, name: str, disk: str) -> None:
         """Start a process that has ended, with the disk that is asked for."""
-        if self.processes[name].alive:
+        if self.processes[name].alive or name in self.starting:
             return
+        self.starting.add(name)
+        try:
+            await self._start_again(name, disk)
+        finally:
+            self.starting.discard(name)
+
+    async def _start_again(self, name: str, disk: str) -> None:
         if name.startswith("keeper"):
             self.crew.well(name)
             self.crew.disk(name, disk)
@@ -207,7 +223,7 @@
             gc.freeze()  # a collection in the midst of a run would show as lag
             began = self.clock()
             self.began += began  # what happened before has negative times
-            self.load = Load(self.clock, self.seeds[2], self.scenario.habits, self.scenario.rate,
+            self.load = FleetLoad(self.clock, self.seeds[2], self.scenario.habits, self.scenario.rate,
                              lambda: list(self.ports.values()), "close")  # fmt: skip
             self.load.start(self.scenario.length)
             self.faults.plan(self.scenario.timeline)
@@ -230,7 +246,9 @@
 
     async def _settle(self) -> None:
         """Operators that still wait get their time; then the keepers name what is out."""
-        self.faults.end()
+        self.faults.heal()
+        ours = [name for name in self.processes if not name.startswith("node")]
+        await asyncio.gather(*(self.start_again(name, "own") for name in ours))
         until = self.clock() + SETTLE_US
         while self.operators.busy and self.clock() < until:
             await asyncio.sleep(LOOK_S)
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,137 @@
+"""Starts real keepers on loopback for tests, and speaks with them as operators and members do."""
+
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from nodes import ROOT, WAIT
+
+from cedarmill.fleet import words as f
+from cedarmill.lab.fleet.crew import free_port
+from cedarmill.net.operator import NoKeeper, Operator
+
+LONG = 3 * WAIT  # for elections and leases on a machine that runs many tests at once
+LIMITS = ('<limit kind="executor" per="fleet" most="2"/>', '<limit kind="executor" per="zone" most="1"/>',
+          '<limit kind="node" per="fleet" most="1"/>')  # fmt: skip
+
+
+class KeeperCase(unittest.TestCase):
+    """Keepers, each with a folder of its own; `faulty` runs them on disks that may fail."""
+
+    keepers = 3
+    limits = LIMITS
+    faulty = False
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.ports = {f"k{n}": free_port() for n in range(self.keepers)}
+        self.running: dict[str, subprocess.Popen] = {}
+        for name in self.ports:
+            self.write(name)
+            self.assertEqual(self.init(name).returncode, 0)
+        for name in self.ports:
+            self.start_keeper(name)
+        self.operator = Operator("main", [f"127.0.0.1:{port}" for port in self.ports.values()], "test")
+        self.addCleanup(self.end_keepers)
+
+    def write(self, name: str, cluster: str = "main") -> Path:
+        """A keeper's file."""
+        path = self.folder / f"{name}.xml"
+        peers = "".join(f'<peer name="{n}" address="127.0.0.1:{p}"/>' for n, p in self.ports.items())
+        path.write_text(f'<keeper version="1" cluster="{cluster}" name="{name}" data="{self.folder / name}" '
+                        f'listen="127.0.0.1:{self.ports[name]}">{peers}{"".join(self.limits)}'
+                        '<cold lasts="0s" share="30%"/></keeper>')  # fmt: skip
+        return path
+
+    def init(self, name: str, *more: str) -> subprocess.CompletedProcess:
+        return cli("keeper", "-c", str(self.folder / f"{name}.xml"), "--init", *more)
+
+    def start_keeper(self, name: str) -> None:
+        words = ["cedarmill.cli", "keeper", "-c", str(self.folder / f"{name}.xml")]
+        if self.faulty:
+            words = ["cedarmill.lab.fleet.disks", str(self.folder / f"{name}.xml"), str(self.fault(name))]
+        with open(self.folder / f"{name}.log", "a") as log:
+            self.running[name] = subprocess.Popen([sys.executable, "-m", *words], cwd=ROOT, stderr=log)
+
+    def fault(self, name: str) -> Path:
+        """The file that says what befalls a keeper's disk."""
+        return self.folder / f"{name}.fault"
+
+    def keeper_log(self, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.running[name].kill()
+            self.running[name].wait(WAIT)
+
+    def end_keepers(self) -> None:
+        self.kill(*self.running)
+        for name in self.running:
+            self.assertNotIn("Traceback", self.keeper_log(name))
+
+    def wipe(self, name: str) -> None:
+        shutil.rmtree(self.folder / name)
+
+    def look(self, what: str, *names: str):
+        """A part of what is agreed."""
+        return json.loads(self.operator.ask(f.Look(what, names=list(names)), LONG).text)
+
+    def leader(self) -> str:
+        return self.look("status")["leader"]
+
+    def wait_for(self, condition, wait: float = LONG):
+        """What a condition comes to, when it comes to something."""
+        until = time.monotonic() + wait
+        while True:
+            try:
+                if found := condition():
+                    return found
+            except (NoKeeper, KeyError, IndexError):
+                pass
+            self.assertLess(time.monotonic(), until, "the condition never came")
+            time.sleep(0.05)
+
+    def fleet(self, *words: str) -> subprocess.CompletedProcess:
+        """The command, as operators use it."""
+        keepers = ",".join(f"127.0.0.1:{port}" for port in self.ports.values())
+        return cli("fleet", "--keepers", keepers, "--cluster", "main", *words)
+
+
+class Member:
+    """A node as the keepers see it, beat by beat, with executors that it sees."""
+
+    def __init__(self, case: KeeperCase, name: str, boxes: int = 6) -> None:
+        self.case, self.name, self.seq, self.orders = case, name, 0, f.Orders(0)
+        self.seen = {f"b{n}": f.Sight("ready", zone=f"z{n % 3}") for n in range(boxes)}
+
+    def beat(self, **facts) -> f.Beaten:
+        """One beat; its orders are followed."""
+        self.seq += 1
+        answer = self.case.operator.ask(
+            f.Beat("node", self.name, "1", self.seq, self.orders.epoch, seen=self.seen, **facts), LONG
+        )
+        if answer.orders is not None:
+            self.orders = answer.orders
+        return answer
+
+    def join(self) -> None:
+        """Beat till the session stands and the executors are known."""
+        self.case.wait_for(lambda: self.beat().lease and len(self.case.look("targets")) >= len(self.seen))
+
+    def clear(self) -> None:
+        """Say that it is done with all that it knows to be out."""
+        self.beat(done=dict(self.orders.out))
+
+
+def cli(*words: str) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        [sys.executable, "-m", "cedarmill.cli", *words], cwd=ROOT, capture_output=True, text=True, timeout=60
+    )
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -230,8 +230,15 @@
             command[2:4] = ["cedarmill.cli"]
         limit = self.nofile
         bounded = (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))) if limit else None
-        return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True,
-                                pass_fds=self.pass_fds, preexec_fn=bounded)
+        return subprocess.Popen(
+            command,
+            cwd=ROOT,
+            env=env,
+            stderr=subprocess.PIPE,
+            text=True,
+            pass_fds=self.pass_fds,
+            preexec_fn=bounded,
+        )
 
     def wait_log(self, words: str) -> str:
         """Read the log up to a line with those words."""
--- a/tests/test_balancers.py
+++ b/tests/test_balancers.py
@@ -105,7 +105,6 @@
                 self.assertTrue(sock.makefile("rb").readline().startswith(b"HTTP/1.1 400"))
         self.assertEqual(self.get("/livez").status, 200)
 
-
     def test_grpcs_own_client_checks_lists_and_watches_a_drain(self):
         """A client that nobody here wrote: statuses, an unknown service, and news of a drain at once."""
         with grpc.insecure_channel(f"127.0.0.1:{self.ports['grpc']}") as channel:
