--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,7 +1,9 @@
 """The node's CPU for one req, and its memory at rest, against a bare relay and another checkout, in one run.
 
-    python benchmarks/relay.py                         # 12 and 400 boxes, ratios with spread
-    python benchmarks/relay.py --against ../before     # also the node of another checkout
+    python benchmarks/relay.py                         # 12 and 400 boxes, ratios with spread python
+    benchmarks/relay.py --against ../before     # also the node of another checkout python
+    benchmarks/relay.py --fleet                 # also the node with a keeper, and without by the same
+    command
 
 The relay is uvloop and httptools with nothing in between: it passes each request on over one kept connection
 to each box in turn, and its answer back. Rounds alternate, so that what this machine does meanwhile befalls
@@ -26,6 +28,7 @@
 import uvloop
 
 ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 CONNECTIONS = 32
 ROUNDS = 8
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -215,9 +218,25 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE / 2**20
 
 
-def node(root: Path, director: int, known: dict, folder: str) -> tuple[subprocess.Popen, int, float]:
-    """Start the node of a checkout; its process, its port, and its memory before the first session."""
-    sys.path.insert(0, str(ROOT / "tests"))
+def keeper(folder: str) -> tuple[subprocess.Popen, str]:
+    """Start one keeper; its process, and the `<fleet>` of a node that has a session with it."""
+    from cedarmill.lab.fleet.crew import free_port
+
+    port, path = free_port(), Path(folder) / "keeper.xml"
+    path.write_text(f'<keeper version="1" cluster="c" name="k0" listen="127.0.0.1:{port}" data="{folder}/k0">'
+                    f'<peer name="k0" address="127.0.0.1:{port}"/></keeper>')  # fmt: skip
+    command = [sys.executable, "-m", "cedarmill.cli", "keeper", "-c", str(path)]
+    subprocess.run([*command, "--init"], cwd=ROOT, check=True, stdout=subprocess.DEVNULL)
+    process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.DEVNULL)
+    return process, f'<fleet cluster="c"><keeper name="k0" address="127.0.0.1:{port}"/></fleet>'
+
+
+def node(root: Path, director: int, known: dict, folder: str,
+         conf: str | None = None) -> tuple[subprocess.Popen, int, float]:  # fmt: skip
+    """Start the node of a checkout; its process, its port, and its memory before the first session.
+
+    `conf`: the inside of a cedarmill.xml, with which the command starts it.
+    """
     from nodes import SETTINGS
 
     settings = json.loads(json.dumps(SETTINGS))
@@ -227,14 +246,21 @@
                                 "seed": "1", "limits": {"sockets": 1024, "memory_mb": 192}, "known": known,
                                 "settings": settings}))  # fmt: skip
     command = [sys.executable, "-m", "cedarmill"]
+    if conf is not None:
+        xml = Path(folder) / "cedarmill.xml"
+        xml.write_text(f'<cedarmill version="1">{conf}</cedarmill>')
+        command = [sys.executable, "-m", "cedarmill.cli", "node", "-c", str(xml)]
     process = subprocess.Popen(command, cwd=root, text=True, stderr=subprocess.PIPE,
                                env={**os.environ, "LB_CONFIG": str(path)})  # fmt: skip
     port = int(process.stderr.readline().split()[-1])
     process.stderr.readline()  # the watch has begun
+    if conf:
+        while "the lease holds" not in process.stderr.readline():
+            pass
     return process, port, memory(process.pid)
 
 
-def measure(boxes: int, count: int, against: list[Path]) -> None:
+def measure(boxes: int, count: int, against: list[Path], with_fleet: bool) -> None:
     """Alternate rounds over the relay and each checkout's node; print the ratios."""
     here, there = multiprocessing.Pipe()
     fleet_process = multiprocessing.Process(target=fleet, args=(boxes, there), daemon=True)
@@ -251,6 +277,14 @@
             nodes.append(process)
             sides[name] = (process.pid, port)
             print(f"{boxes} boxes, {name}: {resident:.2f} MB before the first session")
+        if with_fleet:
+            process, part = keeper(folder)
+            nodes.append(process)
+            for name, conf in (("node by command", ""), ("node with a fleet", part)):
+                process, port, resident = node(ROOT, director, known, folder, conf)
+                nodes.append(process)
+                sides[name] = (process.pid, port)
+                print(f"{boxes} boxes, {name}: {resident:.2f} MB before the first session")
         figures: dict[str, list[float]] = {name: [] for name in sides}
         for turn in range(ROUNDS + 1):
             for name, (pid, port) in list(sides.items())[:: 1 if turn % 2 else -1]:
@@ -283,13 +317,14 @@
     """Measure at each size of the fleet."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("--against", type=Path, action="append", default=[])
+    parser.add_argument("--fleet", action="store_true", help="also a node that has a session with a keeper")
     parser.add_argument("--boxes", type=int, action="append")
     parser.add_argument("--count", type=int, default=4000, help="reqs a round")
     args = parser.parse_args()
     resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
     began = time.monotonic()
     for boxes in args.boxes or [12, 400]:
-        measure(boxes, args.count, [path.resolve() for path in args.against])
+        measure(boxes, args.count, [path.resolve() for path in args.against], args.fleet)
     print(f"took {time.monotonic() - began:.0f} s")
 
 
--- a/cedarmill/lab/fleet/crew.py
+++ b/cedarmill/lab/fleet/crew.py
@@ -22,6 +22,7 @@
 CLUSTER = "lab"
 FIRST_VERSION = "v1"
 START_S = 30.0
+_RESERVED: list[socket.socket] = []
 PORTS = (12_000, 32_000)  # below those that systems give to connections
 DOOR_WORDS = "operators' door on "
 BAD_VERSIONS = ("late", "exiting", "failing")
@@ -29,11 +30,20 @@
 
 
 def free_port() -> int:
-    """A port of loopback that nobody has now, and that the system gives to nobody by itself."""
+    """A port of loopback that nobody has now, and that the system gives to nobody by itself.
+
+    It stays bound here, so that no other run takes it; who listens there says that it reuses addresses.
+    """
     while True:
-        port = random.SystemRandom().randrange(*PORTS)
-        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return port
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", random.SystemRandom().randrange(*PORTS)))
+        except OSError:
+            sock.close()
+            continue
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _RESERVED.append(sock)
+        return sock.getsockname()[1]
 
 
 class Crew:
--- a/cedarmill/lab/fleet/virtual.py
+++ b/cedarmill/lab/fleet/virtual.py
@@ -47,6 +47,7 @@
     length: int = 30 * S
     faults: int = 12  # drawn over the length
     drains: int = 8
+    works: bool = True  # whether nodes send jobs
     release: str = ""  # the new version's kind: good, late, failing or exiting
     stops: bool = False  # nodes stop sending when their lease has run out
     limits: tuple[Limit, ...] = (
@@ -304,7 +305,8 @@
         self.version = version
         address, stops = f"v:{name}:{life}", world.shape.stops
         super().__init__(world, name, Who("node", name, life, zone, address, version, stops=stops))
-        self._work()
+        if world.shape.works:
+            self._work()
 
     def facts(self) -> Facts:
         done = {}
@@ -334,6 +336,7 @@
             return
         name = self.dice.choice(free)
         self.jobs[name] = self.jobs.get(name, 0) + 1
+        self.world.jobs[self.version] = self.world.jobs.get(self.version, 0) + 1
         self.world.visit(self, name)
 
     def may_send(self) -> bool:
@@ -570,6 +573,8 @@
         self._last: dict[tuple[str, str], int] = {}
         self.cut: dict[tuple[str, str], int] = {}  # till when nothing passes
         self.messages = 0
+        self.counted = self.between = 0  # messages since the start was over, and those between keepers
+        self.jobs: dict[str, int] = {}  # by version of the node that sent them
         self.sleepers: list[VNode] = []  # nodes that stand still till something is drained
         self.mid_change: set[int] = set()  # stewards that meet a fault right after their next start
         self.trapped: set[str] = set()  # members that stand still when orders are on their way
@@ -602,6 +607,9 @@
     def send(self, source: str, target: str, deliver: Callable[[], None]) -> None:
         """One message: late, in order on its link, or lost."""
         self.messages += 1
+        if self.time > 4 * S:  # past the start: what is there at rest
+            self.counted += 1
+            self.between += source in self.keepers and target in self.keepers
         if not self.passes(source, target) or self.net.random() < 0.002:
             return
         wait = int(self.net.expovariate(1 / 1500)) + 200
@@ -838,6 +846,10 @@
             keeper.keeper._snap()
             keeper._do(keeper.keeper._done(keeper.clock.now()))
 
+    def jobs_of(self, version: str) -> int:
+        """Jobs that nodes of a version got, in ten thousandths of all."""
+        return 10_000 * self.jobs.get(version, 0) // max(1, sum(self.jobs.values()))
+
     def digest(self) -> str:
         """Of the whole timeline: equal for equal seeds, whatever the machine's hashing."""
         text = b"".join(msgspec.json.encode(event) for event in self.history.events)
