--- a/benchmarks/agree.py
+++ b/benchmarks/agree.py
@@ -92,9 +92,11 @@
             halted = [one for one in found if one[0] == "halted"]
             reached = statistics.mean(one[2] for one in found)
             share = statistics.mean(one[3] for one in found)
-            print(f"{version}: halted in {len(halted)} of {len(found)}; first to last start "
-                  f"{percentiles([one[1] for one in found])}; nodes reached {reached:.2f} of 12 in the mean, "
-                  f"at the most {max(one[2] for one in found)}; jobs got {100 * share / 1e4:.2f} %")  # fmt: skip
+            print(
+                f"{version}: halted in {len(halted)} of {len(found)}; first to last start "
+                f"{percentiles([one[1] for one in found])}; nodes reached {reached:.2f} of 12 in the mean, "
+                f"at the most {max(one[2] for one in found)}; jobs got {100 * share / 1e4:.2f} %"
+            )
         good = pool.map(_release, [("good", seed) for seed in range(SEEDS)])
         print(
             f"good: halted for nothing in {sum(one[0] == 'halted' for one in good)} of {len(good)} releases"
@@ -134,8 +136,10 @@
             for name, port in ports.items():
                 peers = "".join(f'<peer name="{n}" address="127.0.0.1:{p}"/>' for n, p in ports.items())
                 path = Path(folder) / f"{name}.xml"
-                path.write_text(f'<keeper version="1" cluster="bench" name="{name}" '
-                                f'listen="127.0.0.1:{port}" data="{folder}/{name}">{peers}</keeper>')  # fmt: skip
+                path.write_text(
+                    f'<keeper version="1" cluster="bench" name="{name}" '
+                    f'listen="127.0.0.1:{port}" data="{folder}/{name}">{peers}</keeper>'
+                )
                 command = [sys.executable, "-m", "cedarmill.cli", "keeper", "-c", str(path)]
                 subprocess.run([*command, "--init"], cwd=ROOT, check=True, stdout=subprocess.DEVNULL)
                 running.append(subprocess.Popen(command, cwd=ROOT, stderr=subprocess.DEVNULL))
@@ -153,8 +157,10 @@
                     thread.join()
                 syncs = floor(folder)
                 rate = len(done) / GRANTS_S
-                print(f"{count} keepers, {askers} askers: {rate:.0f} agreed a second; one sync after the other: "
-                      f"{syncs:.0f} a second ({rate / syncs:.2f}x)")  # fmt: skip
+                print(
+                    f"{count} keepers, {askers} askers: {rate:.0f} agreed a second; one sync after the other: "
+                    f"{syncs:.0f} a second ({rate / syncs:.2f}x)"
+                )
             for process in running:
                 process.kill()
                 process.wait()
