Dial a keeper anew that accepted and never greeted; change keepers in the log's search

Looked at: both followed nobody in term 4, no election began on the one with less, the other's votes never came; the link had been reset and held while it was dialled. Ruled out: disks (both had started well), time-outs (both asked). To blame: net/keeper.py kept a dialled connection that was accepted and never greeted for good, and so never dialled again.

--- a/cedarmill/lab/fleet/processes.py
+++ b/cedarmill/lab/fleet/processes.py
@@ -97,6 +97,10 @@
         self._transport.close()
         self._transport = self._pipes = None
         self._stop_slow()
+        for _, _, future in self._waits:
+            if not future.done():
+                future.set_exception(ConfError(f"{self.name} ended with {self.code}: {self.lines[-1]}"))
+        self._waits.clear()
         self.told(self.name, "ended", str(self.code))
         if not self._gone.done():
             self._gone.set_result(self.code)
--- a/cedarmill/lab/fleet/run.py
+++ b/cedarmill/lab/fleet/run.py
@@ -179,6 +179,8 @@
         self.starting.add(name)
         try:
             await self._start_again(name, disk)
+        except ConfError:  # one that does not start, or is killed meanwhile, says so in its log
+            pass
         finally:
             self.starting.discard(name)
 
@@ -186,8 +188,7 @@
         if name.startswith("keeper"):
             self.crew.well(name)
             self.crew.disk(name, disk)
-        with contextlib.suppress(ConfError):  # one that is not to start says so in its log
-            await self.start(name)
+        await self.start(name)
 
     def disk_fault(self, name: str, fault: str, lasts: int) -> None:
         """A fault of a keeper's disk; the keeper is started anew when it is over."""
--- a/cedarmill/lab/fleet/search.py
+++ b/cedarmill/lab/fleet/search.py
@@ -68,8 +68,8 @@
 
 
 def log_run(seed: int) -> LogRun:
-    """Three keepers or five, and each fourth with leaders that die soon."""
-    return LogRun(seed, 3 if seed % 2 else 5, churn=seed % 4 == 2)
+    """Three keepers or five; each fourth with leaders that die soon, each third with keepers that change."""
+    return LogRun(seed, 3 if seed % 2 else 5, churn=seed % 4 == 2, changes=seed % 3 == 0)
 
 
 def hunt_log(bug: str, most: int, first: int = 0) -> Hunt:
--- a/cedarmill/lab/fleet/virtual_log.py
+++ b/cedarmill/lab/fleet/virtual_log.py
@@ -12,7 +12,7 @@
 from cedarmill.lab.fleet.virtual import Disk
 
 STEP = 3_000  # us that pass at the most between two events
-CRASH, LOSE, CUT, SNAP = 0.006, 0.02, 0.004, 0.002  # chances at each event
+CRASH, LOSE, CUT, SNAP, CHANGE = 0.006, 0.02, 0.004, 0.002, 0.002  # chances at each event
 
 
 class Node:
@@ -76,8 +76,11 @@
 class LogRun:
     """One run of some thousand events."""
 
-    def __init__(self, seed: int, keepers: int = 3, events: int = 8000, churn: bool = False) -> None:
-        """`churn`: each new leader reaches few others, and dies soon."""
+    def __init__(self, seed: int, keepers: int = 3, events: int = 8000, churn: bool = False,
+                 changes: bool = False) -> None:  # fmt: skip
+        """`churn`: each new leader reaches few others, and dies soon; `changes`: keepers come and go for
+        good.
+        """
         self.seed, self.events = seed, events
         self.dice = random.Random(f"log/{seed}")
         self.timing = Timing(30_000, 150_000)
@@ -87,7 +90,8 @@
         self.highest = 0  # that any keeper has called agreed
         self.by_term: dict[int, str] = {}
         self.reads: dict[int, int] = {}
-        self.churn = churn
+        self.churn, self.changes = churn, changes
+        self.came = 0  # keepers that came later
         self.doomed: tuple[str, int] | None = None  # a leader, and the events that it still lives
         self.on_the_way: list[tuple[str, str, w.Message]] = []
         self.cuts: set[tuple[str, str]] = set()
@@ -132,6 +136,22 @@
                 break
         return self.found
 
+    def _change(self) -> None:
+        """The leader takes a keeper in, on an empty disk, or one out; one that is out never comes back."""
+        leader = next((n for n in self.nodes.values() if n.alive and n.core.part.value == "leader"), None)
+        if leader is None:
+            return
+        names = list(leader.core.config)
+        self.tokens += 1
+        if len(names) <= 3:
+            self.came += 1
+            name = f"s{self.came}"
+            empty = Saved(0, "", w.Snapshot(0, 0, {}, b""), doubtful=True)
+            self.nodes[name] = Node(self, name, empty)
+            leader.step(w.Change(name, w.Peer("", False), self.tokens))
+        else:
+            leader.step(w.Change(self.dice.choice(names), None, self.tokens))
+
     def _event(self) -> None:
         dice = self.dice
         self._faults()
@@ -181,6 +201,8 @@
             self.cuts.add((a, b))
         if self.cuts and dice.random() < 3 * CUT:
             self.cuts.clear()
+        if dice.random() < CHANGE and self.changes:
+            self._change()
         if dice.random() < SNAP:
             leader = next((n for n in self.nodes.values() if n.alive and n.core.part.value == "leader"), None)
             if leader is not None and leader.core.applied > leader.core.log.snapshot.index:
--- a/cedarmill/net/keeper.py
+++ b/cedarmill/net/keeper.py
@@ -111,8 +111,7 @@
     def tell(self, action: w.Role | w.Alarm) -> None:
         if isinstance(action, w.Role):
             part = "leader" if action.leads else "follower"
-            say("keeper-role", part=part, leader=action.leader or "nobody",
-                term=action.term)
+            say("keeper-role", part=part, leader=action.leader or "nobody", term=action.term)
         else:
             self._alarm(action.text)
 
@@ -156,6 +155,9 @@
         for wire in list(self.wires.values()):
             if now - wire.last > SILENT_US:
                 wire.end("silent")
+        for wire in list(self.dialling.values()):  # accepted there, and never greeted: dialled anew
+            if now - wire.last > HELLO_US:
+                wire.end("no hello")
 
     # Other keepers.
 
@@ -332,8 +334,9 @@
     """Format this keeper's disk for a new cluster, or one restored; raises StoreError (not empty) or
     OSError.
     """
-    store = Store(files or Files(options.data), options.cluster, options.name,
-                  disk_name(options.cluster, options.name))
+    store = Store(
+        files or Files(options.data), options.cluster, options.name, disk_name(options.cluster, options.name)
+    )
     try:
         if not store.fresh:
             raise StoreError(f"{options.data}: holds the disk {store.identity.disk} already")
