Count an executor as ill by the nodes that have tried it lately, not by all that list it

At 30 reqs a second over 24 executors most of 12 nodes had not tried the lost one, and each counted as a voice for well. To blame: members.Sights.merged and the three strikes of net/fleet.py. Now only nodes that have tried it within 3 s have a voice, one strike is one, and it takes two. Ruled out: beats (0.25 s) and the keepers' log, both in time.

--- a/cedarmill/fleet/members.py
+++ b/cedarmill/fleet/members.py
@@ -130,7 +130,7 @@
             del self.by_key[key]
 
 
-ILL_PART = 0.5  # of the nodes that tell of an executor: more have to say that it is ill
+ILL_PART = 0.5  # of the nodes that have tried an executor lately: more have to say that it is ill
 MASS_PART = 0.34  # of all executors that may fall ill between two looks and be believed
 MASS_FEW = 2
 
@@ -157,11 +157,18 @@
             health = "gone"
         elif sum(view.state == "draining" for view in views) * 2 > len(views):
             health = "draining"
-        elif sum(view.ill for view in views) > ILL_PART * len(views):
+        elif self._ill(views):
             health = "ill"
         return Target("executor", name, newest.zone, newest.type, newest.group, newest.slots, health,
                       started_ms=newest.started_ms)  # fmt: skip
 
+    @staticmethod
+    def _ill(views: list[Sight]) -> bool:
+        """Most of those that have tried it lately say so, and more than one, where there are more."""
+        sure = [view for view in views if view.sure]
+        ill = sum(view.ill for view in sure)
+        return ill > ILL_PART * len(sure) and ill >= min(2, len(views))
+
     def changes(self, now: int, sessions: Sessions, world: World) -> tuple[tuple[Target, ...], str]:
         """What differs from what is agreed; and why it is not believed, where too much fell ill at once."""
         found, worse = [], 0
--- a/cedarmill/fleet/words.py
+++ b/cedarmill/fleet/words.py
@@ -7,10 +7,14 @@
 
 
 class Sight(msgspec.Struct, array_like=True, frozen=True):
-    """An executor as one node sees it; `state` by discovery's word, `ill` by the node's own attempts."""
+    """An executor as one node sees it; `state` by discovery's word, `ill` by the node's own attempts.
+
+    `sure`: the node has tried it lately. One that has not says nothing of whether it is ill.
+    """
 
     state: str  # ready, draining, gone
     ill: bool = False
+    sure: bool = True
     zone: str = ""
     type: str = ""
     group: str = ""
--- a/cedarmill/net/fleet.py
+++ b/cedarmill/net/fleet.py
@@ -25,7 +25,8 @@
 from cedarmill.ops.door import Act, Call
 from cedarmill.values import FleetOptions
 
-STRIKES = 3  # signs in a row that an executor is dead or unreachable, before it is told as ill
+STRIKES = 1  # signs that an executor is dead or unreachable, and none since that it serves
+FRESH_US = 3_000_000  # since an executor last answered here: older, this node says nothing of its health
 DOOR_US = 900_000  # for a keeper's answer to a call at the door: the page owes one within 1 s
 STATES = {api.WorkerState.READY: "ready", api.WorkerState.DRAINING: "draining", api.WorkerState.GONE: "gone"}
 
@@ -135,16 +136,19 @@
         return done
 
     def _seen(self) -> dict[str, f.Sight]:
+        now = self.turn.now()
         reader, workers, found = self.director.reader, self.dispatch.brain.workers, {}
         zones = {number: name for name, number in reader.zones.items()}
         kinds = {number: name for name, number in reader.kinds.items()}
         for number, entry in self.director.entries.items():
             worker = workers.get(number)
             ill = worker is not None and worker.strikes >= STRIKES
+            sure = ill or (worker is not None and now - worker.heard_at < FRESH_US)
             started = self.director.listed_start.get(number, 0)
             found[reader.names[number]] = f.Sight(
                 STATES[entry.state],
                 ill,
+                sure,
                 zones.get(entry.zone, ""),
                 kinds.get(entry.kind, ""),
                 str(entry.cell),
--- a/cedarmill/net/peers.py
+++ b/cedarmill/net/peers.py
@@ -122,7 +122,7 @@
         try:
             frames = self.reader.feed(data)
         except Bad as error:
-            say("frame-bad", reason=error, peer=self.name or "?")
+            say("frame-bad", reason=str(error), peer=self.name or "?")
             self.end(str(error))
             return
         for number, word in frames:
