Say in a line what a steward cannot start; answer asks whose leader did not

Need: a command that is not there was a traceback and a unit that stayed starting for ever; now it counts as a process that ended at once, and is tried again.

--- a/cedarmill/fleet/keeper.py
+++ b/cedarmill/fleet/keeper.py
@@ -93,7 +93,7 @@
         self.actions = []
         self._agree(now, w.Passed())
         for number in [n for n, (_, at) in self._relays.items() if now - at > RELAY_KEPT]:
-            del self._relays[number]
+            self._reply(self._relays.pop(number)[0], f.NotHere("the leader did not answer"))
         return self._done(now)
 
     def hand_over(self, now: int) -> list:
--- a/cedarmill/lab/fleet/run.py
+++ b/cedarmill/lab/fleet/run.py
@@ -218,6 +218,8 @@
     async def play(self) -> Record:
         """Start all, play the timeline, end all; what it left."""
         self.folder.mkdir(parents=True, exist_ok=True)
+        current = asyncio.current_task()  # ended from outside, it ends all that it has started
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, current.cancel)
         story = Story(self.scenario.name, "fleet", self.seed, self.scenario.length, self.scenario.rules)
         try:
             await self.open()
--- a/cedarmill/net/steward.py
+++ b/cedarmill/net/steward.py
@@ -155,18 +155,38 @@
             self._stop_others(action)
             return
         self.waiting.pop(action.unit, None)
-        env = {**os.environ, **unit.options.env, "LB_SOCKET_FD": str(unit.socket.fileno()),
-               "LB_MGMT": "127.0.0.1:0", "CEDARMILL_LIFE": action.life, "CEDARMILL_VERSION": action.version}
-        with open(self._log_path(action.unit, action.life), "ab") as out:
-            child = subprocess.Popen(
-                unit.options.commands[action.version], env=env, stdin=subprocess.DEVNULL, stdout=out,
-                stderr=out,
-                pass_fds=(unit.socket.fileno(),), start_new_session=True)
+        env = {
+            **os.environ,
+            **unit.options.env,
+            "LB_SOCKET_FD": str(unit.socket.fileno()),
+            "LB_MGMT": "127.0.0.1:0",
+            "CEDARMILL_LIFE": action.life,
+            "CEDARMILL_VERSION": action.version,
+        }
+        try:
+            child = self._spawn(unit, action, env)
+        except OSError as error:  # no such command, say: as a process that ended at once
+            say("steward-waits", unit=action.unit, reason=f"version {action.version}: {error.strerror}")
+            self._do(self.core.exited(self.turn.now(), action.unit, action.life))
+            return
         unit.children[action.life] = child
         unit.ticks[action.life] = start_ticks(child.pid)
         say("steward-starts", unit=action.unit, version=action.version, life=action.life, pid=child.pid)
         self._do(self.core.started(action.unit, action.life, child.pid))
 
+    def _spawn(self, unit: Unit, action: Start, env: dict[str, str]) -> subprocess.Popen:
+        """The unit's process with its log; raises OSError."""
+        with open(self._log_path(action.unit, action.life), "ab") as out:
+            return subprocess.Popen(
+                unit.options.commands[action.version],
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=out,
+                pass_fds=(unit.socket.fileno(),),
+                start_new_session=True,
+            )
+
     def _stop_others(self, action: Start) -> None:
         for life, process in self.core.units[action.unit].lives.items():
             if life != action.life and process.pid and not process.stopping:
