--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,40 @@
+"""The screen that shows releases: what it shows, and that it leaves at their end or by a key."""
+
+import unittest
+
+from cedarmill.cli.fleet import RELEASE_ENDS, release_lines
+from cedarmill.cli.watch import ReleaseScreen
+
+
+def release(state: str) -> dict:
+    steps = [{"unit": "node-0", "state": "new"}, {"unit": "node-1", "state": "changing"}]
+    why = ["1.0 start: by operator"]
+    return {"id": 7, "state": state, "age_s": 3, "group": 1, "steps": steps, "why": why,
+            "plan": {"version": "v2", "groups": [["node-0"], ["node-1"]]}, "new": [40, 1, 0, 0],
+            "rest": [400, 2, 0, 1]}  # fmt: skip
+
+
+class Screen(unittest.IsolatedAsyncioTestCase):
+    async def test_it_shows_the_steps_and_leaves_at_the_end(self):
+        rows = [release("running")]
+        app = ReleaseScreen(lambda: rows, release_lines, RELEASE_ENDS)
+        async with app.run_test() as pilot:
+            await pilot.pause()
+            text = str(app.body.render())
+            for words in ("7 of v2: running", "group 2 of 2", "changing: node-1", "new: 40 jobs, 1 failed"):
+                self.assertIn(words, text)
+            self.assertTrue(app.is_running)
+            rows[0] = release("done")
+            app.look()
+            self.assertIsNotNone(app._exit)
+
+    async def test_a_key_leaves_it(self):
+        app = ReleaseScreen(lambda: [release("running")], release_lines, RELEASE_ENDS)
+        async with app.run_test() as pilot:
+            await pilot.press("q")
+            await pilot.pause()
+            self.assertTrue(app._exit)
+
+
+if __name__ == "__main__":
+    unittest.main()
