Hear signals that come before the loop runs, in keepers and stewards

Seen: in a fresh clone a steward did not end on SIGTERM that came right after its first line. To blame: net/steward.py and net/keeper.py put handlers on a loop that did not run yet; the node blocks signals till then for that reason. Units are started after they are unblocked.

--- a/cedarmill/net/keeper.py
+++ b/cedarmill/net/keeper.py
@@ -30,6 +30,7 @@
 ACCEPT_AGAIN_US = 50_000
 FIRST = 1  # index and term of what a cluster begins with
 DISK_FAILED = 3  # exit code
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def disk_name(cluster: str, name: str) -> str:
@@ -287,7 +288,7 @@
 
     def run(self) -> int:
         """Serve until a signal; the exit code. Raises OSError where the address cannot be had."""
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in SIGNALS:
             self.loop.add_signal_handler(number, self._terminate)
         listen = Address.parse(self.options.listen)
         self._socket = listening_socket(listen, BACKLOG)
@@ -299,6 +300,7 @@
         self.turn.end()
         say("keeper-serves", name=self.options.name, cluster=self.options.cluster, host=listen.host,
             port=self.port)  # fmt: skip
+        self.loop.call_soon(signal.pthread_sigmask, signal.SIG_UNBLOCK, SIGNALS)  # it hears of them only now
         self.loop.run_forever()
         self.store.close()
         say("ended", name=self.options.name)
@@ -347,6 +349,7 @@
 
 def main(options: KeeperOptions, log_format: str = "text", files: Files | None = None) -> int:
     """Run a keeper; the exit code: 0 ended by a signal, 2 it could not start, 3 its disk failed."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # till the loop runs
     log.begin(log_format)
     try:
         return KeeperProcess(options, files).run()
--- a/cedarmill/net/steward.py
+++ b/cedarmill/net/steward.py
@@ -35,6 +35,7 @@
 DOOR_WORDS = "operators' door on "
 KEPT = "units.json"
 BACKLOG = 1024
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def start_ticks(pid: int) -> str:
@@ -93,18 +94,26 @@
 
     def run(self) -> int:
         """Serve until a signal; units go on. The exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in SIGNALS:
             self.loop.add_signal_handler(number, self.loop.stop)
         if self.options.fleet.listen:
             self.membership.listen(Address.parse(self.options.fleet.listen))
+        self.loop.call_soon(self._started)
+        self.loop.run_forever()
+        say("ended", name=self.options.name)
+        return self.code
+
+    def _started(self) -> None:
+        """The loop runs: only now does it hear of signals, those that came before included.
+
+        Units are started after that, or they would inherit that signals are blocked.
+        """
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         self._do(self.core.begin(self.turn.now(), self._adopt))
         self._look(self.turn.now())
         self.membership.start()
         say("steward-serves", name=self.options.name, units=", ".join(self.units))
         self.turn.end()
-        self.loop.run_forever()
-        say("ended", name=self.options.name)
-        return self.code
 
     # The fleet.
 
@@ -289,6 +298,7 @@
 
 def main(options: StewardOptions, log_format: str = "text") -> int:
     """Run a steward; the exit code: 0 ended by a signal, 2 it could not start, 3 its disk failed."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # till the loop runs
     log.begin(log_format)
     try:
         return StewardProcess(options).run()
