--- a/cedarmill/fleet/agree/core.py
+++ b/cedarmill/fleet/agree/core.py
@@ -11,6 +11,7 @@
 
 import enum
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -142,6 +143,11 @@
         voters = self.voters
         return 2 * len([name for name in voters if name in names]) > len(voters)
 
+    def _most_have(self, own: int, of: Callable[[str], int]) -> int:
+        """The highest number that a majority of the voters has reached; there must be voters."""
+        reached = sorted((own if name == self.name else of(name) for name in self.voters), reverse=True)
+        return reached[len(reached) // 2]
+
     def _read_config(self) -> None:
         """The newest change holds from the moment it stands in the log."""
         self.config_index, text = self.log.config()
@@ -402,11 +408,9 @@
 
     def _confirm(self, now: int) -> None:
         """Which heartbeat a majority has answered, and what waits for that."""
-        rounds = sorted((self.round if name == self.name else self._round_of(name) for name in self.voters),
-                        reverse=True)  # fmt: skip
-        if not rounds:
+        if not self.voters:
             return
-        agreed = rounds[len(rounds) // 2]
+        agreed = self._most_have(self.round, self._round_of)
         if agreed in self.round_at:
             self.confirmed_at = max(self.confirmed_at, self.round_at[agreed])
         for old in [number for number in self.round_at if number <= agreed]:
@@ -414,21 +418,19 @@
         if self._stood_still(now):  # check-quorum: too few hear this leader
             self._become_follower(now, self.term, NOBODY)
             return
-        self._answer_reads(agreed)
+        self._answer_reads()
 
     def _round_of(self, name: str) -> int:
         return self.followers[name].round if name in self.followers else 0
 
     def _agree(self, now: int) -> None:
         """What a majority has on its disk is agreed, if it is of this term."""
-        have = sorted((self.synced if name == self.name else self._match_of(name) for name in self.voters),
-                      reverse=True)  # fmt: skip
-        if not have:
+        if not self.voters:
             return
-        index = have[len(have) // 2]
+        index = self._most_have(self.synced, self._match_of)
         if index > self.commit and self.log.term(index) == self.term:
             self._commit_to(index)
-            self._answer_reads(-1)
+            self._answer_reads()
             self._after_commit(now)
 
     def _match_of(self, name: str) -> int:
@@ -511,16 +513,11 @@
         elif event.hurry:
             self.due = now
 
-    def _answer_reads(self, agreed: int) -> None:
+    def _answer_reads(self) -> None:
         """Those whose heartbeat a majority has answered, once something of this term is agreed."""
         if self.log.term(self.commit) != self.term:
             return
-        if agreed < 0:
-            rounds = sorted(
-                (self.round if name == self.name else self._round_of(name) for name in self.voters),
-                reverse=True,
-            )
-            agreed = rounds[len(rounds) // 2]
+        agreed = self._most_have(self.round, self._round_of)
         ready = [read for read in self.reads if read[1] <= agreed]
         self.reads = [read for read in self.reads if read[1] > agreed]
         for token, _ in ready:
--- a/cedarmill/fleet/release.py
+++ b/cedarmill/fleet/release.py
@@ -288,11 +288,6 @@
         move(world, release, "complete")
 
 
-def holds_none(release: Release) -> bool:
-    """Whether none of its units is on the way."""
-    return all(step.state in ("old", "new", "restored") for step in release.steps)
-
-
 # What a steward is to run, and when something is due by itself.
 
 
--- a/cedarmill/lab/fleet/bugs.py
+++ b/cedarmill/lab/fleet/bugs.py
@@ -118,7 +118,7 @@
         index = have[len(have) // 2]
         if index > self.commit:
             self._commit_to(index)
-            self._answer_reads(-1)
+            self._answer_reads()
 
     return [(Agree, "_agree", agree), (core, "BATCH", 1)]
 
