--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -38,7 +38,7 @@
     def recall(self, probe: "Probe") -> None: ...
 
 
-class DirectorPort(Protocol):
+class DiscoveryPort(Protocol):
     """Asks for the changes of the list; comes back through `listed`."""
 
     def watch(self) -> None: ...
@@ -95,11 +95,11 @@
 class Dispatch:
     """The reqs of a node, between the brain and the ports."""
 
-    def __init__(self, brain: Brain, deadlines: Deadlines, backends: BackendPort, director: DirectorPort,
+    def __init__(self, brain: Brain, deadlines: Deadlines, backends: BackendPort, discovery: DiscoveryPort,
                  budget: budgets.Budget | None = None) -> None:  # fmt: skip
         self.brain, self.deadlines = brain, deadlines
         self.budget = budget or budgets.Budget(DeadlineOptions(), len(brain.settings.classes))
-        self.backends, self.director = backends, director
+        self.backends, self.discovery = backends, discovery
         self.reqs: dict[int, Req] = {}
         self.owed = 0  # reqs without their final answer
         self.listed_ready: set[int] = set()
@@ -219,7 +219,7 @@
             self.hears(now, worker, report)
 
     def listed(self, now: int, news: api.WorkerList) -> None:
-        """News of the director's list."""
+        """News of discovery's list."""
         ready = {entry.worker for entry in news.entries if entry.state == api.WorkerState.READY}
         if news.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             self.listed_ready = ready
@@ -355,7 +355,7 @@
             if not self._spend(now, "lists"):
                 self.listed(now, api.WorkerList(api.ListKind.FAILED, []))  # it asks again, later each time
                 return
-            self.director.watch()
+            self.discovery.watch()
         except Exception:
             say("defect", True, what="watch")
             self.listed(now, api.WorkerList(api.ListKind.FAILED, []))  # or it would never ask again
--- a/cedarmill/net/__init__.py
+++ b/cedarmill/net/__init__.py
@@ -1,1 +1,1 @@
-"""The node's sockets: client sessions, backends, the director, and the node that wires them."""
+"""The node's sockets: client sessions, backends, discovery, and the node that wires them."""
--- a/cedarmill/net/beside.py
+++ b/cedarmill/net/beside.py
@@ -13,7 +13,7 @@
 from cedarmill.core.dispatch import Dispatch
 from cedarmill.decisions.memory import out
 from cedarmill.log import say
-from cedarmill.net.director import Director
+from cedarmill.net.discovery import DiscoveryClient
 from cedarmill.net.kept import KeptInPlace, kept_path
 from cedarmill.net.turn import Turn, unix_us
 from cedarmill.ops import document
@@ -59,9 +59,9 @@
 class Beside:
     """This process's document, and what the others' tell."""
 
-    def __init__(self, turn: Turn, director: Director, node: str, held: Callable[[], Room],
+    def __init__(self, turn: Turn, discovery: DiscoveryClient, node: str, held: Callable[[], Room],
                  shared: Callable[[list[Room]], None]) -> None:  # fmt: skip
-        self.turn, self.director, self.node, self.held, self.shared = turn, director, node, held, shared
+        self.turn, self.discovery, self.node, self.held, self.shared = turn, discovery, node, held, shared
         self.dispatch: Dispatch | None = None
         self.own = KeptInPlace(kept_path(node, f"{KIND}-{os.getpid()}"))
         self.folder, name = os.path.split(self.own.path)
@@ -120,7 +120,7 @@
     def _write(self, now: int, unix: int) -> None:
         """Tell what is out: when it changed, for one that starts reads it at once; else now and then."""
         at, before = self.written
-        told = Told(out(self.dispatch.brain, self.director.reader.names), self.held())
+        told = Told(out(self.dispatch.brain, self.discovery.reader.names), self.held())
         if told != before or now - at >= BEAT_US:
             self.own.write(document.seal(KIND, self.node, unix, msgspec.json.encode(told)))
             self.written = now, told
@@ -133,7 +133,7 @@
                 before = total.get(name, (0.0, 0.0))
                 total[name] = before[0] + slots, before[1] + memory
         for name in self.told.keys() | total.keys():
-            number, news = self.director.reader.numbers.get(name), total.get(name, (0.0, 0.0))
+            number, news = self.discovery.reader.numbers.get(name), total.get(name, (0.0, 0.0))
             if number is not None and news != self.told.get(name, (0.0, 0.0)):
                 self.dispatch.beside(now, number, *news)
-        self.told = {name: news for name, news in total.items() if name in self.director.reader.numbers}
+        self.told = {name: news for name, news in total.items() if name in self.discovery.reader.numbers}
--- a/cedarmill/net/config.py
+++ b/cedarmill/net/config.py
@@ -1,4 +1,4 @@
-"""The node's configuration, and the director's lists, decoded by msgspec."""
+"""The node's configuration, and discovery's lists, decoded by msgspec."""
 
 import os
 import socket
@@ -36,7 +36,7 @@
 
 
 class Endpoint(msgspec.Struct):
-    """One line of the director's list."""
+    """One line of discovery's list."""
 
     name: str
     status: str
@@ -133,7 +133,7 @@
 
 
 class ListReader:
-    """Turns the director's entries into the brain's; executors are numbered as they become known."""
+    """Turns discovery's entries into the brain's; executors are numbered as they become known."""
 
     def __init__(self, settings: api.Settings) -> None:
         self.numbers: dict[str, int] = {}
--- a/cedarmill/net/director.py
+++ b/cedarmill/net/discovery.py
@@ -1,4 +1,4 @@
-"""The director: discovery's list, first as the configuration holds it, then by a watch on its changes."""
+"""The discovery client: the list of executors, first as the configuration holds it, then by a watch."""
 
 import asyncio
 from collections.abc import Callable
@@ -17,7 +17,7 @@
 CONNECT_US = 1_000_000
 CALL_US = 3_500_000  # for a call to be answered: calls wait their turn
 SILENCE_US = 3_500_000  # without a line: an empty one comes every 2 s
-QUIET_US = 30_000_000  # between two lines that tell of a lost watch: a director may come and go
+QUIET_US = 30_000_000  # between two lines that tell of a lost watch: a discovery may come and go
 MAX_LINE = 4 * 1024 * 1024
 _LISTING = msgspec.json.Decoder(Listing)
 
@@ -25,8 +25,8 @@
 class Watch(asyncio.Protocol):
     """One call for changes; it lasts until its connection ends."""
 
-    def __init__(self, director: "Director", index: int) -> None:
-        self.director, self.turn, self.index = director, director.turn, index
+    def __init__(self, discovery: "DiscoveryClient", index: int) -> None:
+        self.discovery, self.turn, self.index = discovery, discovery.turn, index
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.buffer = bytearray()
@@ -54,7 +54,7 @@
             return
         self._await(CALL_US)
         path = b"/v1/endpoints?watch=1&from=%d" % self.index
-        transport.write(b"GET %s HTTP/1.1\r\nHost: director\r\n\r\n" % path)
+        transport.write(b"GET %s HTTP/1.1\r\nHost: discovery\r\n\r\n" % path)
 
     @callback
     def data_received(self, data: bytes) -> None:
@@ -77,12 +77,12 @@
         while (end := self.buffer.find(b"\n")) >= 0:
             line, self.buffer = bytes(self.buffer[:end]), self.buffer[end + 1 :]
             if line.strip():
-                self.director.news(_LISTING.decode(line))
+                self.discovery.news(_LISTING.decode(line))
         if len(self.buffer) > MAX_LINE:
             raise ValueError("a line is too long")
 
     def on_message_complete(self) -> None:
-        self.end("ended by the director")
+        self.end("ended by discovery")
 
     def eof_received(self) -> None:
         """The loop closes the transport, and connection_lost does the rest."""
@@ -108,10 +108,10 @@
             self.task.cancel()
         if self.transport is not None:
             self.transport.abort()
-        self.director.lost(self, reason)
+        self.discovery.lost(self, reason)
 
 
-class Director:
+class DiscoveryClient:
     """Holds the list's version and at most one watch; the dispatch's port to discovery."""
 
     def __init__(self, turn: Turn, settings: api.Settings, address: Address, backends: Backends) -> None:
--- a/cedarmill/net/fleet.py
+++ b/cedarmill/net/fleet.py
@@ -21,7 +21,7 @@
 from cedarmill.log import say
 from cedarmill.net.clients import Clients
 from cedarmill.net.config import Address, Config
-from cedarmill.net.director import Director
+from cedarmill.net.discovery import DiscoveryClient
 from cedarmill.net.gossip import Gossip
 from cedarmill.net.hands import Answer, Hands
 from cedarmill.net.lanes import Lanes
@@ -46,12 +46,12 @@
         config: Config,
         options: FleetOptions,
         clients: Clients,
-        director: Director,
+        discovery: DiscoveryClient,
         hands: Hands,
     ) -> None:
         self.turn, self.options, self.name = turn, options, config.name
-        self.clients, self.director, self.hands = clients, director, hands
-        self.dispatch = director.dispatch
+        self.clients, self.discovery, self.hands = clients, discovery, hands
+        self.dispatch = discovery.dispatch
         self.tally = [0, 0, 0, 0]  # jobs, failed, late, refused
         self.orders: f.Orders | None = None
         self.pending: dict[tuple[str, str], str] = {}  # of calls at the door without an answer: their ids
@@ -81,12 +81,14 @@
         self.dispatch.may_retry = self._may_retry
         hands.agreed = self.obey
         holds = self.membership.agent.holds
-        self.lanes = Lanes(turn, self.name, zone, director, options, holds, self._may_spend) if zone else None
+        self.lanes = None
+        if zone:
+            self.lanes = Lanes(turn, self.name, zone, discovery, options, holds, self._may_spend)
         self.peopled, self._asks_peers = 0, False  # the epoch of the peers that are known
-        self.gossip = Gossip(turn, self.name, options.cluster, director)
+        self.gossip = Gossip(turn, self.name, options.cluster, discovery)
         self.membership.taken = self.gossip.take
         if options.start == "wait":
-            director.hold(True)
+            discovery.hold(True)
 
     def start(self) -> None:
         """Begin the session; raises OSError where the address for looks cannot be had."""
@@ -127,7 +129,7 @@
         if before is None or before.out.keys() != orders.out.keys():
             self.hands.out_by_fleet(dict.fromkeys(orders.out, self.turn.now()))
         if self.may_send(self.turn.now()) or self.options.cut_off == "serve":
-            self.director.hold(False)
+            self.discovery.hold(False)
         self.purses.told(self.turn.now(), self.membership.agent.holds(self.turn.now()), orders.purse)
         self._learn_peers()
         if self.lanes is not None:
@@ -164,10 +166,10 @@
 
     def _lapsed(self) -> None:
         if self.options.cut_off == "stop":
-            self.director.hold(True)
+            self.discovery.hold(True)
 
     def _resumed(self) -> None:
-        self.director.hold(False)
+        self.discovery.hold(False)
 
     # What is told.
 
@@ -191,7 +193,7 @@
         if shut and self.lanes is not None:
             done |= self.lanes.done(busy)
         if self.orders.out:
-            numbers = self.director.reader.numbers
+            numbers = self.discovery.reader.numbers
             done |= {name: epoch for name, epoch in self.orders.out.items() if numbers.get(name) not in busy}
         if self.orders.away and not self.clients.sessions and not self.dispatch.owed:
             done[self.name] = self.orders.away
@@ -199,14 +201,14 @@
 
     def _seen(self) -> dict[str, f.Sight]:
         now = self.turn.now()
-        reader, workers, found = self.director.reader, self.dispatch.brain.workers, {}
+        reader, workers, found = self.discovery.reader, self.dispatch.brain.workers, {}
         zones = {number: name for name, number in reader.zones.items()}
         kinds = {number: name for name, number in reader.kinds.items()}
-        for number, entry in self.director.entries.items():
+        for number, entry in self.discovery.entries.items():
             worker = workers.get(number)
             ill = worker is not None and worker.strikes >= STRIKES
             sure = ill or (worker is not None and now - worker.heard_at < FRESH_US)
-            started = self.director.listed_start.get(number, 0)
+            started = self.discovery.listed_start.get(number, 0)
             found[reader.names[number]] = f.Sight(
                 STATES[entry.state],
                 ill,
@@ -236,7 +238,7 @@
     def obey(self, call: Call, answer: Answer) -> None:
         """A call that takes something out or puts it back is a request to the fleet."""
         kind, name = ("executor", call.executor) if call.executor else ("node", self.name)
-        if call.act == Act.EXCLUDE and not self.director.knows(name):
+        if call.act == Act.EXCLUDE and not self.discovery.knows(name):
             answer(404, b"no executor of that id\n")
             return
         takes = call.act in (Act.EXCLUDE, Act.EVACUATE)
--- a/cedarmill/net/gossip.py
+++ b/cedarmill/net/gossip.py
@@ -13,7 +13,7 @@
 from cedarmill.fleet import words as f
 from cedarmill.log import say
 from cedarmill.net.config import Address
-from cedarmill.net.director import Director
+from cedarmill.net.discovery import DiscoveryClient
 from cedarmill.net.peers import Wire
 from cedarmill.net.turn import Turn
 
@@ -51,9 +51,9 @@
 class Gossip:
     """A node's links to those that use the same executors; made where a fleet is set, idle without peers."""
 
-    def __init__(self, turn: Turn, name: str, cluster: str, director: Director) -> None:
-        self.turn, self.name, self.cluster, self.director = turn, name, cluster, director
-        self.dispatch = director.dispatch
+    def __init__(self, turn: Turn, name: str, cluster: str, discovery: DiscoveryClient) -> None:
+        self.turn, self.name, self.cluster, self.discovery = turn, name, cluster, discovery
+        self.dispatch = discovery.dispatch
         self.dispatch.hears = self.hears
         self.peers: dict[str, str] = {}
         self.links: dict[str, Link] = {}
@@ -92,7 +92,7 @@
 
     def _choose(self) -> None:
         """Executors that this node uses, over all zones: drawn by zone, nearly all nodes would share one."""
-        names, entries = self.director.reader.names, self.director.entries.items()
+        names, entries = self.discovery.reader.names, self.discovery.entries.items()
         listed = [names[number] for number, entry in entries if entry.state == api.WorkerState.READY]
         if not self.draw.set([self.name, *self.peers], listed):
             return
@@ -156,8 +156,8 @@
 
     def hears(self, now: int, worker: int, report: api.LoadReport) -> None:
         """A report has come here, with an answer or a probe."""
-        if self.peers and worker in self.director.reader.names:
-            self.facts[self.director.reader.names[worker]] = Report(now, report)
+        if self.peers and worker in self.discovery.reader.names:
+            self.facts[self.discovery.reader.names[worker]] = Report(now, report)
 
     def _tell(self, now: int, link: Link) -> None:
         facts = []
@@ -188,7 +188,7 @@
 
     def _take(self, now: int, name: str, age: int, report: api.LoadReport) -> None:
         """A fact of another's: followed where it is newer than what is known here, and not too old."""
-        number = self.director.reader.numbers.get(name)
+        number = self.discovery.reader.numbers.get(name)
         worker = self.dispatch.brain.workers.get(number) if number is not None else None
         if worker is None or age > OLD_US or worker.strikes or now - age <= worker.heard_at:
             self.passed_over += 1
--- a/cedarmill/net/hands.py
+++ b/cedarmill/net/hands.py
@@ -1,7 +1,7 @@
 """What operators ask at the door, done on the node: readiness, executors out by hand, sending clients away.
 
 The door only reports and marks: an executor out by hand reaches the module as a draining one, through the
-director, and what follows of that is the module's. The marks are kept in a file that the node's next
+discovery client, and what follows of that is the module's. The marks are kept in a file that the node's next
 process finds, so that they hold across an upgrade.
 """
 
@@ -9,7 +9,7 @@
 
 from cedarmill.log import say
 from cedarmill.net.clients import Clients
-from cedarmill.net.director import Director
+from cedarmill.net.discovery import DiscoveryClient
 from cedarmill.net.door import Answer
 from cedarmill.net.kept import KeptFile, kept_path
 from cedarmill.net.turn import Turn, unix_us
@@ -24,9 +24,9 @@
 class Hands:
     """Carries out the door's calls."""
 
-    def __init__(self, turn: Turn, clients: Clients, director: Director, node: str,
+    def __init__(self, turn: Turn, clients: Clients, discovery: DiscoveryClient, node: str,
                  ending: Callable[[], bool]) -> None:  # fmt: skip
-        self.turn, self.clients, self.director, self.ending = turn, clients, director, ending
+        self.turn, self.clients, self.discovery, self.ending = turn, clients, discovery, ending
         self.kept = KeptFile(kept_path(node, KIND))
         self.exclusions = Exclusions(node)
         self.agreed: Callable[[Call, Answer], None] | None = None  # where a fleet decides
@@ -57,10 +57,10 @@
             self._tell()
 
     def _tell(self) -> None:
-        """The director lays the marks as they now stand over what the module hears of these executors."""
-        at = self.director.reader.at
+        """Lay the marks as they now stand over what the module hears of these executors."""
+        at = self.discovery.reader.at
         own = {name: at(since) for name, since in self.exclusions.since.items()}
-        self.director.mark({**self.by_fleet, **own})
+        self.discovery.mark({**self.by_fleet, **own})
 
     def obey(self, call: Call, answer: Answer) -> None:
         """Answer a call understood: at once, or when the fleet has been asked, where there is one."""
@@ -94,7 +94,7 @@
     def _mark_alone(self, name: str, out: bool) -> tuple[int, bytes]:
         """Make the mark on the newest word of both processes; raises OSError where it cannot be kept."""
         self._take_up()
-        if not (self.director.knows(name) or name in self.exclusions.since):
+        if not (self.discovery.knows(name) or name in self.exclusions.since):
             return 404, b"no executor of that id\n"
         now, done = unix_us(), b"excluded\n" if out else b"included\n"
         if self.exclusions.exclude(name, now) if out else self.exclusions.include(name):
--- a/cedarmill/net/lanes.py
+++ b/cedarmill/net/lanes.py
@@ -16,7 +16,7 @@
 from cedarmill.fleet.sightings import Place, Sightings
 from cedarmill.fleet.words import Way
 from cedarmill.log import say
-from cedarmill.net.director import Director
+from cedarmill.net.discovery import DiscoveryClient
 from cedarmill.net.turn import Turn
 from cedarmill.values import FleetOptions
 
@@ -31,10 +31,10 @@
 class Lanes:
     """One node's; made where its fleet plans zones."""
 
-    def __init__(self, turn: Turn, name: str, zone: str, director: Director, options: FleetOptions,
+    def __init__(self, turn: Turn, name: str, zone: str, discovery: DiscoveryClient, options: FleetOptions,
                  holds: Callable[[int], bool], spend: Callable[[int, str], bool]) -> None:  # fmt: skip
-        self.turn, self.zone, self.director, self.spend = turn, zone, director, spend
-        self.dispatch = director.dispatch
+        self.turn, self.zone, self.discovery, self.spend = turn, zone, discovery, spend
+        self.dispatch = discovery.dispatch
         settings = self.dispatch.brain.settings
         self.follower = Follower()
         self.sights = Sightings(turn.now())
@@ -64,12 +64,12 @@
         if bound == "any":
             return ()
         names = way.reach.get(bound, [self.zone]) if way is not None else [self.zone]
-        numbers = self.director.reader.zones
+        numbers = self.discovery.reader.zones
         return tuple(sorted(numbers[name] for name in names if name in numbers))
 
     def _learn_names(self) -> None:
         """Discovery may list zones and kinds that the settings do not name."""
-        reader = self.director.reader
+        reader = self.discovery.reader
         self.zone_names = {number: name for name, number in reader.zones.items()}
         self.kind_names = {number: name for name, number in reader.kinds.items()}
 
@@ -98,7 +98,7 @@
             self.sights.turned(self.turn.now())
 
     def _ended(self, now: int, attempt) -> None:
-        entry = self.director.entries.get(attempt.worker)
+        entry = self.discovery.entries.get(attempt.worker)
         if entry is None or attempt.outcome in NO_SIGN:
             return
         zone = self.zone_names.get(entry.zone, "")
@@ -136,9 +136,9 @@
         sums: dict[str, list[int]] = {}
         heard = [worker.slots for worker in brain.workers.values() if worker.listed and worker.heard_at]
         usual = sum(heard) / len(heard) if heard else 1.0  # of executors that have told nothing yet
-        for number, entry in self.director.entries.items():
-            name = self.director.reader.names[number]
-            if entry.state != api.WorkerState.READY or name in self.director.excluded:
+        for number, entry in self.discovery.entries.items():
+            name = self.discovery.reader.names[number]
+            if entry.state != api.WorkerState.READY or name in self.discovery.excluded:
                 continue
             worker = brain.workers.get(number)
             if worker is None or not worker.heard_at:
@@ -192,12 +192,12 @@
         """By the plan and by what this node sees: tell the module what has changed."""
         now = self.turn.now()
         places = self.places()
-        empty = set(self.director.reader.zones) - places.keys()
+        empty = set(self.discovery.reader.zones) - places.keys()
         seen = self.sights.seen(now, places)
         before, self.use = self.use, self.follower.look(now, seen, empty, self.sights.streaks)
         for zone in self.use.cannot:  # counted anew once it is tried again
             self.sights.streaks.pop(zone, None)
-        use, numbers = self.use, self.director.reader.zones
+        use, numbers = self.use, self.discovery.reader.zones
         if use.shut != before.shut or use.shut:
             self._shut(use.shut)
         if use.rows != before.rows:
@@ -211,16 +211,16 @@
 
     def _shut(self, zones: tuple[str, ...]) -> None:
         """Executors of these zones get nothing, whatever the plan and this node's sight come to."""
-        names = self.director.reader.names
-        hidden = {names[n] for n, entry in self.director.entries.items()
+        names = self.discovery.reader.names
+        hidden = {names[n] for n, entry in self.discovery.entries.items()
                   if self.zone_names.get(entry.zone) in zones}  # fmt: skip
-        if hidden != self.director.hidden:
-            self.director.hide(hidden)
+        if hidden != self.discovery.hidden:
+            self.discovery.hide(hidden)
 
     def done(self, busy: set[int]) -> dict[str, int]:
         """Zones that are shut and have nothing of ours, and the epochs of their permits."""
         if self.follower.way is None:
             return {}
-        held = {self.zone_names.get(e.zone, "") for n, e in self.director.entries.items() if n in busy}
+        held = {self.zone_names.get(e.zone, "") for n, e in self.discovery.entries.items() if n in busy}
         return {zone: epoch for zone, epoch in self.follower.way.shut.items()
                 if zone in self.use.shut and zone not in held}  # fmt: skip
--- a/cedarmill/net/memory.py
+++ b/cedarmill/net/memory.py
@@ -10,7 +10,7 @@
 from cedarmill.decisions.brain import Brain
 from cedarmill.decisions.memory import Memory, recall, recall_worker, remember
 from cedarmill.log import say
-from cedarmill.net.director import Director
+from cedarmill.net.discovery import DiscoveryClient
 from cedarmill.net.kept import KeptInPlace, kept_path
 from cedarmill.net.turn import Turn, unix_us
 from cedarmill.ops import document
@@ -25,9 +25,9 @@
 class Keeper:
     """Writes the document again and again, and lays one found at the start over a new brain."""
 
-    def __init__(self, turn: Turn, brain: Brain, director: Director, node: str,
+    def __init__(self, turn: Turn, brain: Brain, discovery: DiscoveryClient, node: str,
                  ending: Callable[[], bool]) -> None:  # fmt: skip
-        self.turn, self.brain, self.director, self.node, self.ending = turn, brain, director, node, ending
+        self.turn, self.brain, self.discovery, self.node, self.ending = turn, brain, discovery, node, ending
         self.kept = KeptInPlace(kept_path(node, KIND))
         self.pending: Memory | None = None  # what of a document still waits for its executors to be listed
         self.pending_until = 0
@@ -54,22 +54,22 @@
             raise ValueError("of other settings: classes or tenants differ")
         self.pending, self.pending_until = memory, now + LATE_US
         say("recalled", workers=len(memory.workers), age=age / 1e6)
-        self.director.heard = lambda: self._lay(written)
+        self.discovery.heard = lambda: self._lay(written)
 
     def _lay(self, written: int) -> None:
         """Lay over each executor that is listed by now; the rest waits a little for the next list."""
-        numbers, workers = self.director.reader.numbers, self.brain.workers
+        numbers, workers = self.discovery.reader.numbers, self.brain.workers
         for name in [name for name in self.pending.workers if numbers.get(name) in workers]:
             recall_worker(workers[numbers[name]], self.pending.workers.pop(name), written)
         if not self.pending.workers or self.turn.now() > self.pending_until:
-            self.director.heard = None
+            self.discovery.heard = None
 
     def _keep(self, now: int) -> None:
         """The one chain of writings; a process that ends leaves the file to the one that replaces it."""
         if self.ending():
             return
         self.turn.deadlines.add(now + KEEP_US, self._keep)
-        body = msgspec.json.encode(remember(self.brain, self.director.reader.names, now))
+        body = msgspec.json.encode(remember(self.brain, self.discovery.reader.names, now))
         try:
             self.kept.write(document.seal(KIND, self.node, unix_us(), body))
         except OSError as error:
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -19,14 +19,14 @@
 from cedarmill.net.beside import Beside
 from cedarmill.net.clients import Clients
 from cedarmill.net.config import Address, Config, ConfigError, inherited_socket
-from cedarmill.net.director import Director
+from cedarmill.net.discovery import DiscoveryClient
 from cedarmill.net.hands import Hands
 from cedarmill.net.memory import Keeper
 from cedarmill.net.turn import Turn
 from cedarmill.ops.share import Limits, Room, share
 from cedarmill.values import Options
 
-OWN_DESCRIPTORS = 24  # the loop's, the log, the listening socket, the director: 14 were counted
+OWN_DESCRIPTORS = 24  # the loop's, the log, the listening socket, discovery: 14 were counted
 FLEET_DESCRIPTORS = 8  # a keeper, the listener for looks and some that look
 HEALTH_DESCRIPTORS = 33  # of a listener for checkers: its socket and 32 sessions
 OWN_MEMORY_MB = 24  # measured: 16 to 20 before the first session
@@ -62,26 +62,26 @@
         self.budget = Budget(options.deadlines, len(settings.classes))
         self.clients = Clients(self.turn, settings, room.sessions, options.deadlines)
         self.backends = Backends(self.turn, settings, room.connections, options)
-        self.director = Director(self.turn, settings, config.discovery, self.backends)
+        self.discovery = DiscoveryClient(self.turn, settings, config.discovery, self.backends)
         brain = Brain(settings, config.seed)
-        self.dispatch = Dispatch(brain, self.deadlines, self.backends, self.director, self.budget)
-        self.beside = Beside(self.turn, self.director, config.name, self._holds, self._share)
-        for adapter in (self.clients, self.backends, self.director, self.beside):
+        self.dispatch = Dispatch(brain, self.deadlines, self.backends, self.discovery, self.budget)
+        self.beside = Beside(self.turn, self.discovery, config.name, self._holds, self._share)
+        for adapter in (self.clients, self.backends, self.discovery, self.beside):
             adapter.dispatch = self.dispatch
         self.draining = False
         self.term_at = 0  # when SIGTERM came
         self.checkers: list = []
-        self.hands = Hands(self.turn, self.clients, self.director, config.name, lambda: self.draining)
+        self.hands = Hands(self.turn, self.clients, self.discovery, config.name, lambda: self.draining)
         self.door = door.Door(self.turn, self.hands.obey)
         self.inherited = inherited_socket()
-        self.keeper = Keeper(self.turn, brain, self.director, config.name, lambda: self.draining)
+        self.keeper = Keeper(self.turn, brain, self.discovery, config.name, lambda: self.draining)
         self.fleet = self._fleet() if options.fleet is not None else None
 
     def _fleet(self):
         """The node's part in the fleet; the platform's run has none, and loads nothing of it."""
         from cedarmill.net.fleet import NodeFleet
 
-        return NodeFleet(self.turn, self.config, self.options.fleet, self.clients, self.director, self.hands)
+        return NodeFleet(self.turn, self.config, self.options.fleet, self.clients, self.discovery, self.hands)
 
     def _holds(self) -> Room:
         """What counts against the node's limits, for its other processes."""
@@ -129,7 +129,7 @@
         self.hands.start()
         if self.inherited is not None:  # a second process can be started beside this one
             self.keeper.start()  # before the list: an heir asks discovery at once
-        self.director.first(self.config.known)
+        self.discovery.first(self.config.known)
         if self.fleet is not None:
             self.fleet.start()
         if self.inherited is not None:
@@ -174,7 +174,7 @@
         if fixed := self.config.fixed_changes(config):
             say("reload-ignored", names=", ".join(fixed))
         say("reloaded", host=config.discovery.host, port=config.discovery.port)
-        self.director.move(config.discovery)
+        self.discovery.move(config.discovery)
         self.turn.end()
 
     def _drain(self) -> None:
--- a/tests/test_director.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""The director's log and its calls, without sockets."""
+"""The discovery client's log and its calls, without sockets."""
 
 import unittest
 from unittest import mock
@@ -7,35 +7,35 @@
 
 from cedarmill.decisions import interface as api
 from cedarmill.net.config import Address, Endpoint, Listing
-from cedarmill.net.director import QUIET_US, Director
+from cedarmill.net.discovery import QUIET_US, DiscoveryClient
 
 
 class Flapping(unittest.TestCase):
-    """A director that sends a good line and breaks, again and again."""
+    """A discovery that sends a good line and breaks, again and again."""
 
     def setUp(self) -> None:
         self.turn, self.lines = mock.Mock(), []
-        self.director = Director(self.turn, settings(), Address("127.0.0.1", 1), mock.Mock())
-        self.director.dispatch = mock.Mock()
-        patch = mock.patch("cedarmill.net.director.say", lambda name, *_, **__: self.lines.append(name))
+        self.discovery = DiscoveryClient(self.turn, settings(), Address("127.0.0.1", 1), mock.Mock())
+        self.discovery.dispatch = mock.Mock()
+        patch = mock.patch("cedarmill.net.discovery.say", lambda name, *_, **__: self.lines.append(name))
         patch.start()
         self.addCleanup(patch.stop)
 
     def lose(self, at: int) -> None:
         self.turn.now.return_value = at
-        self.director.current = watch = mock.Mock()
-        self.director.lost(watch, "silence")
+        self.discovery.current = watch = mock.Mock()
+        self.discovery.lost(watch, "silence")
 
     def flap(self, at: int) -> None:
         self.turn.now.return_value = at
-        self.director.news(Listing(1, False, []))
+        self.discovery.news(Listing(1, False, []))
         self.lose(at)
 
     def test_the_log_has_one_line_and_not_two_a_second(self) -> None:
         for n in range(20):
             self.flap(1 + n * 300_000)
         self.assertEqual(self.lines, ["watching", "watch-lost", "watching"])
-        kinds = [call.args[1].kind for call in self.director.dispatch.listed.call_args_list]
+        kinds = [call.args[1].kind for call in self.discovery.dispatch.listed.call_args_list]
         self.assertEqual(kinds.count(api.ListKind.FAILED), 20)  # the module hears of each
 
     def test_a_loss_that_lasts_is_told_in_the_end(self) -> None:
@@ -52,47 +52,47 @@
         self.turn = mock.Mock()
         self.turn.now.side_effect = lambda: self.now
         self.now = 50_000_000
-        self.director = Director(self.turn, settings(), Address("127.0.0.1", 1), mock.Mock())
-        self.director.dispatch = mock.Mock()
-        self.director.reader._unix_us = 0
-        self.director.told = True
+        self.discovery = DiscoveryClient(self.turn, settings(), Address("127.0.0.1", 1), mock.Mock())
+        self.discovery.dispatch = mock.Mock()
+        self.discovery.reader._unix_us = 0
+        self.discovery.told = True
         self.list(since_ms=1_000)
 
     def list(self, **fields) -> None:
         entry = Endpoint("s-1", "SERVING", "127.0.0.1:1", **fields)
-        self.director.news(Listing(1, True, [entry]))
+        self.discovery.news(Listing(1, True, [entry]))
 
     def heard(self) -> api.WorkerEntry:
-        return self.director.dispatch.listed.call_args.args[1].entries[-1]
+        return self.discovery.dispatch.listed.call_args.args[1].entries[-1]
 
     def test_out_it_drains_whatever_the_list_says(self) -> None:
-        self.director.mark({"s-1": 50_000_000})
+        self.discovery.mark({"s-1": 50_000_000})
         self.assertEqual(self.heard().state, api.WorkerState.DRAINING)
         self.list(since_ms=52_000)
         self.assertEqual(self.heard().state, api.WorkerState.DRAINING)
 
     def test_back_in_it_counts_from_the_restart_that_the_list_told(self) -> None:
         """Counted from the call, it stayed cold to the module for seconds after it was warm."""
-        self.director.mark({"s-1": 50_000_000})
+        self.discovery.mark({"s-1": 50_000_000})
         self.list(since_ms=52_000)
         self.now = 60_000_000
-        self.director.mark({})
+        self.discovery.mark({})
         told = self.heard()
         self.assertEqual((told.state, told.started_at), (api.WorkerState.READY, 52_000_000))
         self.assertTrue(told.by_hand)
 
     def test_back_in_before_the_list_tells_its_restart_it_counts_from_the_call(self) -> None:
-        self.director.mark({"s-1": 50_000_000})
+        self.discovery.mark({"s-1": 50_000_000})
         self.now = 60_000_000
-        self.director.mark({})
+        self.discovery.mark({})
         self.assertEqual(self.heard().started_at, 60_000_000)
 
     def test_back_in_after_the_list_dropped_it_nothing_is_told(self) -> None:
-        self.director.mark({"s-1": 50_000_000})
-        self.director.news(Listing(2, True, []))
-        before = self.director.dispatch.listed.call_count
-        self.director.mark({})
-        self.assertEqual(self.director.dispatch.listed.call_count, before)
+        self.discovery.mark({"s-1": 50_000_000})
+        self.discovery.news(Listing(2, True, []))
+        before = self.discovery.dispatch.listed.call_count
+        self.discovery.mark({})
+        self.assertEqual(self.discovery.dispatch.listed.call_count, before)
 
 
 if __name__ == "__main__":
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -40,8 +40,8 @@
         entries = {n: api.WorkerEntry(n, api.WorkerState.READY) for n in workers}
         names = {n: f"e{n}" for n in workers}
         reader = SimpleNamespace(names=names, numbers={name: n for n, name in names.items()})
-        director = SimpleNamespace(dispatch=dispatch, entries=entries, reader=reader)
-        self.gossip, self.workers, self.said = Gossip(clock, name, "c", director), workers, []
+        discovery = SimpleNamespace(dispatch=dispatch, entries=entries, reader=reader)
+        self.gossip, self.workers, self.said = Gossip(clock, name, "c", discovery), workers, []
         link = self.gossip.links[peer] = Link(peer)
         self.wire = link.wire = SimpleNamespace(name=peer, say=lambda number, word: self.said.append(word))
         self.link = link
@@ -128,8 +128,8 @@
     def test_only_peers_that_use_the_same_executors_are_linked(self):
         gossip, self.a.wire.end = self.a.gossip, lambda reason: None
         names = {n: f"e{n}" for n in range(600)}
-        gossip.director.reader.names = names
-        gossip.director.entries = {n: api.WorkerEntry(n, api.WorkerState.READY) for n in names}
+        gossip.discovery.reader.names = names
+        gossip.discovery.entries = {n: api.WorkerEntry(n, api.WorkerState.READY) for n in names}
         gossip.follow({f"n{n}": "nowhere" for n in range(120)})
         self.clock.pass_on(STILL_US)
         shares = {name for name in gossip.peers if gossip.mine & set(gossip.draw.subset(name))}
