Keep jobs off a cold executor that alone would push it over: the rule broke by one of 19 s

To blame: Brain._warm_enough adds luck x cost to the budget, so a lucky node sends a job of any size. Change: luck counts for no more than the budget of all nodes together. The test fails without the change.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -398,11 +398,11 @@
         share = s.cold_share + (1 - s.cold_share) * max(0, age - s.overload_window_us) / s.cold_us
         worker.cold_log = [entry for entry in worker.cold_log if entry[0] > self.now - s.overload_window_us]
         stands = s.fall_multiple * share * max(worker.slots, self.slots.get(worker.kind, 1.0))
-        budget = COLD_MARGIN * stands * s.overload_window_us * self._part()
+        whole = COLD_MARGIN * stands * s.overload_window_us  # for all dispatchers together
         if self.now - worker.drawn_at > s.overload_window_us:  # parts of a job: by chance, anew each window
             worker.drawn_at, worker.luck = self.now, self.random.random()
         cost = self._work(request)
-        return cost + sum(w for _, w in worker.cold_log) <= budget + worker.luck * cost
+        return cost + sum(w for _, w in worker.cold_log) <= whole * self._part() + worker.luck * min(cost, whole)
 
     def _work(self, request: Request) -> float:
         """Slot-time that a job is likely to take, by its hint once others show what hints are worth."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -791,3 +791,17 @@
         d.now += 1_000_000
         wins.append(sum(len(sends(d.arrive(0))) for _ in range(50)))
     assert max(wins) <= 1 and sum(wins) < 20
+
+
+def test_a_job_that_alone_would_push_a_cold_worker_over_is_never_drawn_for_it():
+    """Drawn by chance for its part, one of 19 s went to a worker that stands 2.1 s of work in a window."""
+    heavy = 10 * 3.0 * 0.2 * 10 * 2_000_000  # slot-time: ten times what all together may send in a window
+    for seed in range(300):
+        d = Driver(entries=[entry(1, started_at=1_000_000_000)], instances=30, seed=seed, tells_start=False)
+        d.brain.workers[1].slots = 10.0
+        d.brain.means[0][1:] = 0.0, 1  # one has ended: hints count as they are
+        d.now += 1_000_000
+        d.report(1, 10)
+        d.brain.workers[1].drawn_at, d.brain.workers[1].luck = d.now, 0.999  # the luckiest of a thousand
+        assert not sends(d.arrive(0, hint_us=int(heavy)))
+        assert sends(d.arrive(0, hint_us=100_000))
