--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -401,8 +401,8 @@
         whole = COLD_MARGIN * stands * s.overload_window_us  # for all dispatchers together
         if self.now - worker.drawn_at > s.overload_window_us:  # parts of a job: by chance, anew each window
             worker.drawn_at, worker.luck = self.now, self.random.random()
-        cost = self._work(request)
-        return cost + sum(w for _, w in worker.cold_log) <= whole * self._part() + worker.luck * min(cost, whole)
+        cost, sent = self._work(request), sum(work for _, work in worker.cold_log)
+        return sent + cost <= whole * self._part() + worker.luck * min(cost, whole)
 
     def _work(self, request: Request) -> float:
         """Slot-time that a job is likely to take, by its hint once others show what hints are worth."""
