Pay what is owed at each ending: clients gone unseen, requests dropped, answers taken twice

ClientSession looks for the hang-up while it reads nothing. (3 tests) - While the node ends, a second request that had been read, whole or half, was dropped with its session when the first had its answer (ClientSession._write took 'last' for granted). (2) - Sessions were closed over unread bytes, which resets: a resting client that sent just then, and a last answer that was still on its way, were lost (ClientSession.close). The sending side ends first now, what comes is read out. (2) - Two answers in one piece: the second overwrote the first before it was told, so an unsafe job that had run counted as never run (Connection.on_headers_complete). A late one that names no job was taken for the next job's answer. (4) - An answer without end was kept whole in memory until the time was up. (1) - A keyed repeat could be written in the last instant of its window and arrive after it: Dispatch.may_write now reckons as the module does. (1) At the end of a node whose sessions are at their bound, the backlog is given 0.5 s of room before it is closed (no test).

--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -247,7 +247,8 @@
             return False
         ran = [a for a in req.attempts if a is not attempt and a.outcome not in api.NEVER_RAN]
         guarded = req.spec.effect == api.Effect.KEYED
-        return not guarded or all(now < a.sent_at + req.spec.repeat_window_us for a in ran)
+        arrives = now + 2 * self.brain.settings.tick_us  # as the module reckons it
+        return not guarded or all(arrives < a.sent_at + req.spec.repeat_window_us for a in ran)
 
     def busy(self) -> set[int]:
         """Backends with attempts that have not ended."""
--- a/cedarmill/net/backends.py
+++ b/cedarmill/net/backends.py
@@ -12,6 +12,7 @@
 from cedarmill.decisions.interface import Outcome
 from cedarmill.log import say
 from cedarmill.net.config import Address, Endpoint
+from cedarmill.net.hangup import hung_up
 from cedarmill.net.turn import Turn, callback
 from cedarmill.values import KindOptions, Options
 
@@ -21,6 +22,8 @@
 COMMIT_US = 2_000  # between an unsafe attempt but for its last byte, and that byte
 PLACE_US = 20_000  # till it is asked again whether the fleet has a place for a connection
 WARY_US = 30_000_000  # after a kept connection broke under a request, unsafe attempts go out on new ones
+LATE_ANSWER_US = 50_000  # a second answer may come so long after the first: it must not meet the next request
+MAX_ANSWER = 1024 * 1024  # bytes of one answer, with all its lines
 TAIL_US = 1_000_000  # for an answer's message to end after its last line
 PASSED_ON = (b"x-call-id", b"idempotency-key", b"content-type", b"x-call-class", b"x-caller", b"x-call-info")
 
@@ -63,6 +66,7 @@
     """What a connection carries: it goes out as one request, and ends once."""
 
     unsafe = False  # whether it must not run twice
+    guarded = False  # whether it may run twice only within bounds, or not at all
 
     def __init__(self, backends: "Backends", backend: "Backend") -> None:
         self.backends, self.backend = backends, backend
@@ -113,6 +117,7 @@
         self.attempt = attempt
         self.id = attempt.req.payload.headers[b"x-call-id"].decode("latin-1")
         self.unsafe = attempt.req.spec.effect == api.Effect.UNSAFE
+        self.guarded = attempt.req.spec.effect != api.Effect.SAFE
         attempt.link, attempt.blind = self, backend.kind.cancel not in ("close", "end")
 
     def request(self, now: int) -> bytes | None:
@@ -167,11 +172,15 @@
         text = self.headers.get(b"x-load-report")
         report = self.report(load_header(text)) if text else None
         if self.status in (503, 504) and self.headers.get(b"x-rejected") == b"1":
-            outcome = Outcome.FULL
+            outcome = Outcome.RESET if self._perhaps_late() else Outcome.FULL
         else:
             outcome = Outcome.UNUSABLE if 400 <= self.status < 500 else Outcome.ERROR
         self.ending = outcome, report
 
+    def _perhaps_late(self) -> bool:
+        """Whether this answer, which names no job, may be a second one to the job before it here."""
+        return self.guarded and self.connection.kept and not self.connection.rested(self.backends.turn.now())
+
     def on_complete(self) -> None:
         if not self.ending and self.body.strip():
             self._line(bytes(self.body))
@@ -258,7 +267,8 @@
         self.written = False  # whether the exchange's last byte has left
         self.complete = self.keep_alive = False
         self.closed = False
-        self.opened_at = 0
+        self.opened_at = self.rested_at = 0
+        self.answer_bytes = 0
         self.deadline: Deadline | None = None
         self.task: asyncio.Task | None = None
 
@@ -309,6 +319,7 @@
             return
         self.exchange, exchange.connection = exchange, self
         self.written = self.complete = False
+        self.answer_bytes = 0
         if not exchange.unsafe:
             self._write(text)
             return
@@ -349,6 +360,9 @@
             self.parser.feed_data(data)
         except Exception:  # an answer that is no HTTP, or not of this protocol
             whole = False
+        self.answer_bytes += len(data)
+        if self.answer_bytes > MAX_ANSWER:  # it need never end
+            whole = False
         now = self.turn.now()
         if not whole:
             self.abort_quietly()
@@ -365,6 +379,10 @@
 
     # httptools calls these.
 
+    def on_message_begin(self) -> None:
+        if self.complete:
+            raise ValueError("a second answer")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self.exchange.headers[name.lower()] = value
 
@@ -426,9 +444,14 @@
     def _rest(self) -> None:
         """Into the pool."""
         self.exchange, self.kept = None, True
+        self.rested_at = self.turn.now()
         self.backend.idle.append(self)
         wait = int(self.backend.backends.settings.conn_idle_us * IDLE_SHARE)
-        self.deadline = self.turn.deadlines.add(self.turn.now() + wait, lambda now: self.abort())
+        self.deadline = self.turn.deadlines.add(self.rested_at + wait, lambda now: self.abort())
+
+    def rested(self, now: int) -> bool:
+        """Whether no second answer to its last request can come any more."""
+        return now - self.rested_at >= LATE_ANSWER_US
 
 
 class Backend:
@@ -441,21 +464,32 @@
 
     def carry(self, exchange: Exchange) -> None:
         """Give an exchange to an idle connection, or to a new one."""
-        wary = exchange.unsafe and self.backends.turn.now() < self.backends.wary_until
-        while self.idle and not wary:
-            connection = self.idle.pop()
-            if not connection.transport.is_closing():
-                connection.carry(exchange)
-                return
+        now = self.backends.turn.now()
+        wary = exchange.unsafe and now < self.backends.wary_until
+        connection = None if wary else self._idle_for(exchange, now)
+        if connection is not None:
+            self.idle.remove(connection)
+            connection.carry(exchange)
+            return
         if not self.backends.make_room():
             say("backends-full", bound=self.backends.bound)
-            exchange.finish(self.backends.turn.now(), Outcome.CONNECT_FAILED)
+            exchange.finish(now, Outcome.CONNECT_FAILED)
             return
         connection = Connection(self, exchange)
         self.connections.add(connection)
         self.backends.connections += 1
         connection.open()
 
+    def _idle_for(self, exchange: Exchange, now: int) -> Connection | None:
+        """The one used last; for what must not run twice one that is past late answers, or none."""
+        usable = [connection for connection in reversed(self.idle) if not connection.transport.is_closing()]
+        if exchange.guarded:  # its close may have come and not be read yet
+            usable = [connection for connection in usable if not hung_up(connection.transport)]
+        rested = [connection for connection in usable if connection.rested(now)]
+        if exchange.unsafe or (exchange.guarded and rested):
+            usable = rested
+        return usable[0] if usable else None
+
     def drop(self, connection: Connection) -> None:
         """Forget a connection."""
         if connection in self.connections:
--- a/cedarmill/net/clients.py
+++ b/cedarmill/net/clients.py
@@ -19,6 +19,7 @@
 from cedarmill.decisions import interface as api
 from cedarmill.log import say
 from cedarmill.net.config import Address
+from cedarmill.net.hangup import hung_up
 from cedarmill.net.listening import Accepting, listening_socket
 from cedarmill.net.turn import Turn, callback
 from cedarmill.values import DeadlineOptions
@@ -31,7 +32,11 @@
 IDLE_US = 60_000_000  # afterwards, between requests
 SLOW_US = 15_000_000  # afterwards, for a request to arrive whole
 GRACE_US = 150_000  # a session younger than that makes no room for others
-LINGER_US = 1_000_000  # for a client to read the last answer, though it may still be sending
+LINGER_US = 1_000_000  # for a client to read the last answer and close, though it may still be sending
+ROOM_LINGER_US = 200_000  # the same for one that makes room for others
+HANGUP_US = 50_000  # between two looks whether a client has gone from whom nothing is read for now
+BACKLOG_US = 500_000  # for the backlog to be taken at the end, where sessions are at their bound
+BACKLOG_AGAIN_US = 20_000
 ACCEPT_AGAIN_US = 50_000
 ACCEPTS = 32  # in one turn: a flood of connections must not hold up the reqs
 BACKLOG = 1024
@@ -105,7 +110,7 @@
         self.call_id = b""  # of the req that is open
         self.ending = self.clogged = self.paused = False
         self.half_closed = False  # it sends no more, but still reads
-        self.deadline = None
+        self.deadline = self.look = None
 
     @callback
     def connection_made(self, transport) -> None:
@@ -116,20 +121,29 @@
     @callback
     def connection_lost(self, error) -> None:
         self.turn.deadlines.cancel(self.deadline)
+        self.turn.deadlines.cancel(self.look)
         self.clients.left(self)
-        self.ending = True
         self.parser = self.message = None  # cycles with the parser would keep bodies till a full collection
+        self._gone()
+
+    def _gone(self) -> None:
+        """The client has left: nothing is owed to it, and nothing more starts for it."""
+        self.ending = True
         self.waiting.clear()
         if self.req is not None:
             req = self._release()
             self.clients.dispatch.withdraw(self.turn.now(), req)
 
+    @callback
     def eof_received(self) -> bool:
         """The client sends no more: it has gone, unless the settings say that it may still read.
 
-        False: the loop closes the transport, and connection_lost does the rest.
+        False: the loop closes the transport once all that was written has left. Who does not read may keep
+        it from leaving, so what the client's going ends is ended here.
         """
         if self.clients.options.half_close == "leaves" or not (self.answering or self.waiting):
+            self._gone()
+            self._await(self.turn.now() + LINGER_US)
             return False
         self.half_closed = True
         return True
@@ -158,11 +172,16 @@
             fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
         return waiting[0] > 0
 
-    def close(self) -> None:
-        """End it when all that was written has left, or soon."""
+    def close(self, linger: int = LINGER_US) -> None:
+        """End it when all that was written has left and the client has closed, or soon.
+
+        The sending side ends first, and what still comes is read and dropped: a close over bytes that were
+        not read resets the connection, and takes the last answer with it.
+        """
         self.ending = True
-        self.transport.close()
-        self._await(self.turn.now() + LINGER_US)
+        self._pause(False)
+        self.transport.write_eof()
+        self._await(self.turn.now() + linger)
 
     @callback
     def data_received(self, data: bytes) -> None:
@@ -248,9 +267,33 @@
         self.deadline = self.turn.deadlines.add(until, self._late)
 
     def _pause(self, pause: bool) -> None:
-        if pause != self.paused and not self.transport.is_closing():
-            self.paused = pause
-            (self.transport.pause_reading if pause else self.transport.resume_reading)()
+        if pause == self.paused or self.transport.is_closing():
+            return
+        self.paused = pause
+        if pause:
+            self.transport.pause_reading()
+            self._look_later()
+        else:
+            self.transport.resume_reading()
+
+    def _look_later(self) -> None:
+        """Nothing is read for now, not even the client's end: look for it."""
+        self.turn.deadlines.cancel(self.look)
+        self.look = self.turn.deadlines.add(self.turn.now() + HANGUP_US, self._look)
+
+    def _look(self, now: int) -> None:
+        if self.paused and not self._end_if_left():
+            self._look_later()
+
+    def _end_if_left(self) -> bool:
+        """Whether the client has gone while nothing was read from it; then the session ends."""
+        left = self.transport.is_closing() or hung_up(
+            self.transport, half_counts=self.clients.options.half_close == "leaves"
+        )
+        if left:
+            self._gone()
+            self.abort()
+        return left
 
     def _late(self, now: int) -> None:
         if self.ending:
@@ -274,6 +317,8 @@
 
     def _next(self) -> None:
         while self.answering is None and self.waiting and not self.ending and not self.clogged:
+            if self.paused and self._end_if_left():
+                return
             self.turn.deadlines.cancel(self.deadline)
             self.answering = message = self.waiting.popleft()
             try:
@@ -403,7 +448,8 @@
             return
         clients = self.clients
         away = clients.closing or clients.sending_away
-        last = not message.keep_alive or away or (self.half_closed and not self.waiting)
+        more_owed = self.waiting or self.message is not None  # what is read has its answer before the end
+        last = not message.keep_alive or (away and not more_owed) or (self.half_closed and not self.waiting)
         if last:
             more += b"Connection: close\r\n"
         if status == 405:
@@ -411,12 +457,7 @@
         head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s\r\n"
         text = head % (status, REASONS[status].encode(), len(body), more)
         self.transport.write(text if message.method == b"HEAD" else text + body)
-        if message.fault is not None or (last and status < 500 and status != 200):
-            self.ending = True
-            self._pause(False)
-            self.transport.write_eof()  # closed at once, unread input would reset the answer away
-            self._await(self.turn.now() + LINGER_US)
-        elif last:
+        if last or message.fault is not None:
             self.close()
         else:
             self._rest()
@@ -458,7 +499,7 @@
     def _accept(self) -> bool:
         """Take some of what has come; False when no more can be taken now."""
         for _ in range(ACCEPTS):
-            if len(self.sessions) + len(self._opening) >= self.bound:
+            if self._full():
                 self._make_room()
                 return False
             try:
@@ -492,7 +533,7 @@
         if not going:
             going = [session for session in islice(self.resting, ACCEPTS) if not session.unread()]
             for session in going:
-                session.close()
+                session.close(ROOM_LINGER_US)
                 self.resting.pop(session, None)
         if going:
             self._accept_off()  # `left` puts it on
@@ -549,17 +590,28 @@
         The backlog of a socket that another process of the node shares is left to that process.
         """
         self.closing = True
-        while take_backlog and self._accept():
+        self._take_backlog(self.turn.now() + (BACKLOG_US if take_backlog else 0), take_backlog)
+
+    def _take_backlog(self, until: int, take: bool) -> None:
+        """Accept what waits, then close the socket; at the bound of sessions a while is left for room."""
+        while take and self._accept():
             pass
+        now = self.turn.now()
+        if take and self._full() and now < until:
+            self.turn.deadlines.add(now + BACKLOG_AGAIN_US, lambda now: self._take_backlog(until, take))
+            return
         self._accept_off()
         self._socket.close()
         self._socket = None
 
+    def _full(self) -> bool:
+        return len(self.sessions) + len(self._opening) >= self.bound
+
     def close_idle(self) -> None:
         """End the sessions that hold no req, nor one that has come and is not read yet."""
         for session in [session for session in self.sessions if session.idle and not session.unread()]:
             session.close()
 
     def all_gone(self) -> bool:
-        """Whether no session is left, nor one that opens: whatever was answered has also left."""
-        return not self.sessions and not self._opening
+        """Whether no session is left, nor one that opens or waits: whatever was answered has also left."""
+        return not self.sessions and not self._opening and self._socket is None
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,263 @@
+"""Endings at the wrong instant, on the real program: scripted peers hold, split and reset at a known byte."""
+
+import contextlib
+import select
+import socket
+import struct
+import time
+import unittest
+
+from nodes import WAIT, NodeCase
+from test_leaving import LeavingCase, raw
+
+NEVER_RAN = "HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+GONE = 0.3  # seconds within which nothing more may be sent on for a client that has gone
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """All that comes till the other side ends its sending; raises ConnectionResetError."""
+    text = b""
+    while chunk := sock.recv(65536):
+        text += chunk
+    return text
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class GoneWhileNothingIsRead(LeavingCase):
+    """A client that sends ahead is read no further for now: its end must be seen all the same."""
+
+    def gone(self, leave) -> None:
+        sock = self.raw_client()
+        sock.sendall(raw(1) + raw(2) + raw(3))
+        asked = self.servers[0].next()
+        began = time.monotonic()
+        leave(sock)
+        self.assertTrue(asked.wire.ended.wait(WAIT))
+        self.assertLess(time.monotonic() - began, GONE)
+        client = self.client().ask()  # what waited behind it does not start, before this or after
+        self.assertEqual(self.servers[0].next().headers["X-Call-Id"], f"{client.count:016x}")
+
+    def test_a_close(self):
+        """Seen only when the time of the req in flight was up, 6 s later."""
+        self.gone(lambda sock: sock.close())
+
+    def test_a_reset(self):
+        self.gone(reset)
+
+    def test_a_close_behind_more_than_is_read(self):
+        """The end stands behind bytes that nobody reads yet."""
+
+        def leave(sock: socket.socket) -> None:
+            sock.sendall(raw(4) * 20)
+            sock.close()
+
+        self.gone(leave)
+
+    def test_a_close_while_the_answer_before_is_not_read(self):
+        """The loop closes only once all that was written has left, which may be never."""
+        sock = self.raw_client()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.sendall(raw(1))
+        self.servers[0].next().done("x" * 200_000)
+        self.wait_for(lambda: select.select([sock], [], [], 0)[0])
+        sock.sendall(raw(2))
+        sock.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(Exception):
+            asked = self.servers[0].asked.get(timeout=GONE)  # on its way before the close came
+            self.assertTrue(asked.wire.ended.wait(GONE))
+        self.assertTrue(self.servers[0].asked.empty())
+
+
+class Ending(LeavingCase):
+    """SIGTERM, and what comes in that instant."""
+
+    def closing(self) -> None:
+        self.terminate()
+        self.wait_log("no new sessions from now on")
+
+    def test_a_second_request_behind_one_in_flight_is_answered_too(self):
+        """It was read, and dropped with the session as soon as the first had its answer."""
+        sock = self.raw_client()
+        sock.sendall(raw(1) + raw(2))
+        first = self.servers[0].next()
+        self.closing()
+        first.done("first")
+        self.servers[0].next().done("second")
+        text = read_all(sock)
+        self.assertEqual(text.count(b"HTTP/1.1 200"), 2)
+        self.assertEqual(text.count(b"Connection: close"), 1)
+        self.assertIn(b"second", text.rpartition(b"Connection: close")[2])
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_the_other_half_of_a_second_request_is_waited_for(self):
+        """Half of it had come when the first was answered: closing then would lose what is nearly sent."""
+        sock, second = self.raw_client(), raw(2)
+        sock.sendall(raw(1) + second[:-3])
+        first = self.servers[0].next()
+        self.closing()
+        first.done("first")
+        self.wait_for(lambda: select.select([sock], [], [], 0)[0])
+        sock.sendall(second[-3:])
+        self.servers[0].next().done("second")
+        self.assertEqual(read_all(sock).count(b"HTTP/1.1 200"), 2)
+        self.assertEqual(self.process.wait(WAIT), 0)
+
+    def test_a_resting_client_that_sends_as_the_node_closes_is_neither_reset_nor_sent_on(self):
+        """A close over its bytes resets; read after the shutdown, it may not run here."""
+        sock = self.raw_client()
+        sock.sendall(raw(1))
+        self.servers[0].next().done()
+        self.wait_for(lambda: select.select([sock], [], [], 0)[0])
+        self.assertIn(b" 200 ", sock.recv(65536))
+        self.closing()
+        self.assertEqual(read_all(sock), b"")  # the node has ended its sending side
+        for part in (raw(2)[:9], raw(2)[9:]):
+            sock.sendall(part)  # a reset would show at the second one
+            self.assertEqual(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR), 0)
+        sock.close()
+        self.assertEqual(self.process.wait(WAIT), 0)
+        self.assertTrue(self.servers[0].asked.empty())
+
+    def test_the_last_answer_is_not_lost_to_what_the_client_still_sends(self):
+        """Closed over unread input, the connection is reset and takes the rest of the answer with it."""
+        sock = self.raw_client()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.sendall(raw(1, more="Connection: close\r\n"))
+        asked = self.servers[0].next()
+        asked.done("x" * 150_000)
+        self.wait_for(lambda: select.select([sock], [], [], 0)[0])
+        sock.sendall(b"y" * 100_000)
+        self.assertTrue(read_all(sock).endswith(b"x" * 1000))
+
+    def test_a_client_that_never_closes_does_not_hold_the_node(self):
+        sock = self.raw_client()
+        sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+        self.assertIn(b" 200 ", sock.recv(65536))
+        began = time.monotonic()
+        self.closing()
+        self.assertEqual(self.process.wait(WAIT), 0)
+        self.assertLess(time.monotonic() - began, 3.5)
+
+
+class Answers(NodeCase):
+    """Executors that answer twice, late, without end, or half."""
+
+    def first(self, job_class: str = "issue"):
+        client = self.client().ask(job_class)
+        return client, self.servers[0].next()
+
+    def test_two_answers_at_once_are_one_and_the_first_counts(self):
+        """The second, "never ran", overwrote the first before it was told: an unsafe job was sent twice."""
+        client, asked = self.first()
+        body = '{"state":"done","result":1}'
+        asked.wire.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}{NEVER_RAN}")
+        self.assertEqual(client.answer(), (200, b"1"))
+        self.assertTrue(asked.wire.ended.wait(WAIT))
+        self.assertTrue(self.servers[0].asked.empty())
+
+    def test_a_second_answer_that_meets_the_next_request_does_not_free_it(self):
+        """It names no job: taken for the next one's, that one would run and be refused."""
+        client, asked = self.first("pin")
+        asked.done("first")
+        self.assertEqual(client.answer(), (200, b"first"))
+        client.ask("pin")
+        second = self.servers[0].next()
+        self.assertIs(second.wire, asked.wire)
+        second.wire.send(NEVER_RAN)
+        while not client.answered(0.02):  # the module may send it again: executors of the zone drop repeats
+            if not self.servers[0].asked.empty():
+                self.servers[0].next().wire.reset()
+        self.assertEqual(client.answer()[0], 502)  # it may have run
+
+    def test_what_must_not_run_twice_does_not_meet_a_second_answer(self):
+        """It goes out on a connection of its own while one may still come on the kept one."""
+        client, asked = self.first()
+        asked.done("first")
+        self.assertEqual(client.answer(), (200, b"first"))
+        client.ask("issue")
+        second = self.servers[0].next()
+        self.assertIsNot(second.wire, asked.wire)
+        with contextlib.suppress(OSError):
+            asked.wire.send(NEVER_RAN)
+        second.done("second")
+        self.assertEqual(client.answer(), (200, b"second"))
+
+    def test_what_rested_long_enough_is_preferred_for_what_must_not_run_twice(self):
+        pairs = [self.first() for _ in range(2)]
+        for client, asked in pairs:
+            asked.done()
+            self.assertEqual(client.answer()[0], 200)
+        old = pairs[0][1].wire
+        until = time.monotonic() + 0.06
+        self.wait_for(lambda: time.monotonic() > until)
+        client, asked = self.first()
+        asked.done()
+        self.assertEqual(client.answer()[0], 200)
+        third = self.first()[1]
+        self.assertIsNot(third.wire, asked.wire)
+        self.assertIn(old, (third.wire, asked.wire))
+
+    def test_an_answer_without_end_is_given_up(self):
+        """Headers, trailers and lines that go on for ever filled the memory until the time was up."""
+        for text in ("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"):
+            client, asked = self.first()
+            began = time.monotonic()
+            asked.wire.send(text)
+            more = "X-A: " + "y" * 8000 + "\r\n" if "chunked" not in text else "1\r\n\n\r\n" * 1000
+            with contextlib.suppress(OSError):
+                for _ in range(2_000):
+                    asked.wire.send(more)
+            self.assertEqual(client.answer()[0], 502)
+            self.assertLess(time.monotonic() - began, 4)
+            self.assertTrue(asked.wire.ended.wait(WAIT))
+
+    def test_half_a_line_and_then_nothing_ends_with_the_time(self):
+        client = self.client().ask("issue", budget=500)
+        asked = self.servers[0].next()
+        asked.head()
+        asked.wire.send('10\r\n{"state":"done",')
+        began = time.monotonic()
+        self.assertEqual(client.answer()[0], 502)
+        self.assertLess(time.monotonic() - began, 0.6)
+        self.assertTrue(asked.wire.ended.wait(WAIT))
+
+    def test_a_kept_connection_that_was_closed_meanwhile_is_not_written_to(self):
+        """Its close may wait unread: what must not run twice would be lost on it."""
+        client, asked = self.first()
+        asked.done()
+        self.assertEqual(client.answer()[0], 200)
+        asked.wire.close()
+        client.ask("issue")
+        second = self.servers[0].next()
+        second.done("again")
+        self.assertEqual(client.answer(), (200, b"again"))
+        self.assertIsNot(second.wire, asked.wire)
+
+
+class Full(NodeCase):
+    """Idle clients hold all descriptors that they can get while discovery is away."""
+
+    sockets = 64
+
+    def test_the_watch_and_the_executors_still_get_theirs(self):
+        self.director.next().head("503 Service Unavailable")
+        for _ in range(100):
+            sock = socket.create_connection(("127.0.0.1", self.port), timeout=WAIT)
+            self.addCleanup(sock.close)
+            sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+        call = self.director.next()
+        call.head()
+        call.line({"index": 9, "snapshot": False, "endpoints": []})
+        self.wait_log("watching from index 9")
+        client = self.client().ask("issue")
+        self.servers[0].next().done()
+        self.assertEqual(client.answer()[0], 200)
+        self.assertLessEqual(self.descriptors(), self.sockets)
+
+
+if __name__ == "__main__":
+    unittest.main()
