Reckon short hints as longer towards what a cold executor stands: rough ones mislead

Checked: every send logged. To blame: Brain._work takes a hint for the truth. The cold budget picks jobs that are called short, and a rough hint that is far below the mean lies mostly too low. Change: a job counts at least as much as the root of its hinted time times its class's mean.

--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -1,7 +1,5 @@
-"""Every decision of a dispatcher; its settings, events and actions are in cedarmill/decisions/interface.py.
-
-The mechanism is Zhao's preemptive connection pool: jobs enter in order of arrival while the pool of
-slots has room; when it is full, a job of higher worth cuts lower ones on one worker or is refused."""
+"""Every decision of a dispatcher: Zhao's preemptive connection pool. Jobs enter in order of arrival while the
+pool of slots has room; when it is full, a job of higher worth cuts lower ones on one worker or is refused."""
 
 import math
 from itertools import islice
@@ -405,9 +403,10 @@
         return sent + cost <= whole * self._part() + worker.luck * min(cost, whole)
 
     def _work(self, request: Request) -> float:
-        """Slot-time that a job is likely to take, by its hint once others show what hints are worth."""
+        """Slot-time that a job is likely to take, by its hint; what a rough one calls short runs longer."""
         mean, log, seen = self.means[request.index]
-        return request.slots * (request.hint_us * math.exp(log) if request.hint_us and seen else mean)
+        hinted = request.hint_us * math.exp(log) if request.hint_us and seen else mean
+        return request.slots * max(hinted, math.sqrt(hinted * mean))
 
     def _part(self) -> float:
         """This dispatcher's part of all traffic: at least an even one, else what it sees of the quotas."""
