--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -1,5 +1,5 @@
-"""Every decision of a dispatcher: Zhao's preemptive connection pool. Jobs enter in order of arrival while the
-pool of slots has room; when it is full, a job of higher worth cuts lower ones on one worker or is refused."""
+"""A dispatcher's decisions; all that it sees and says: cedarmill/decisions/interface.py. Jobs enter Zhao's
+preemptive pool in order while it has room; when full, one of higher worth cuts lower ones or is refused."""
 
 import math
 from itertools import islice
