--- a/cedarmill/conf/fleet.py
+++ b/cedarmill/conf/fleet.py
@@ -40,8 +40,15 @@
         raise ConfError(f"{path}:{root.findall('budget')[-1].sourceline}: <budget> name: one is named twice")
     if (zones := root.find("zones")) is not None:
         values |= zoning(path, zones)
-    return KeeperOptions(root.get("cluster"), root.get("name"), listen, root.get("data"),
-                         peers, tuple(limit(path, one) for one in root.findall("limit")), **values)
+    return KeeperOptions(
+        root.get("cluster"),
+        root.get("name"),
+        listen,
+        root.get("data"),
+        peers,
+        tuple(limit(path, one) for one in root.findall("limit")),
+        **values,
+    )
 
 
 def budget(element) -> tuple[str, int, int]:
@@ -64,8 +71,13 @@
             if one.get(end) not in names:
                 raise ConfError(f"{path}:{one.sourceline}: <cost> {end}: no zone {one.get(end)!r}")
         costs[f"{one.get('from')}>{one.get('to')}"] = int(one.get("is"))
-    return {"regions": regions, "costs": costs, "safe": round(share(element.get("safe", "90%")) * 1000),
-            "sheds": element.get("sheds") == "on", "news": element.get("news") == "on"}
+    return {
+        "regions": regions,
+        "costs": costs,
+        "safe": round(share(element.get("safe", "90%")) * 1000),
+        "sheds": element.get("sheds") == "on",
+        "news": element.get("news") == "on",
+    }
 
 
 def steward(path: str | Path) -> StewardOptions:
@@ -94,5 +106,4 @@
         raise ConfError(f"{where} version: no <run> of the version {element.get('version')!r}")
     env = {one.get("name"): one.get("value") for one in element.findall("env")}
     listen = address(path, element, "listen")
-    return UnitOptions(element.get("name"), element.get("version"), listen, commands,
-                       env)
+    return UnitOptions(element.get("name"), element.get("version"), listen, commands, env)
--- a/cedarmill/decisions/brain.py
+++ b/cedarmill/decisions/brain.py
@@ -72,7 +72,7 @@
             api.AttemptStarted: self._started, api.AttemptProgress: self._progress,
             api.StreamStarted: self._progress, api.AttemptEnded: self._ended, api.ProbeEnded: self._probed,
             api.TimerFired: self._fired, api.WorkerList: self._listed, api.PeerMessage: lambda _: None,
-            api.Beside: self._beside, api.Shares: lambda event: setattr(self, "plan", event.rows)}
+            api.Beside: self._beside, api.Shares: lambda e: setattr(self, "plan", e.rows)}  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event at its time (us) and return the actions in order."""
@@ -155,7 +155,7 @@
         spec, most = self.settings.classes[event.job_class], self.settings.max_attempts
         request = self.requests[event.request] = Request(
             event.request, event.job_class, event.slots, event.memory, event.hint_us, spec, self.now +
-            event.time_left_us, self._worth(event, spec), event.homes, most, event.cut or BACK)
+            event.time_left_us, self._worth(event, spec), event.homes, most, event.cut or BACK)  # fmt: skip
         (self._turn_away if event.cut else self._admit)(request)
 
     def _admit(self, request: Request) -> None:
@@ -211,8 +211,8 @@
                 continue
             need = request.slots - (worker.base + worker.waiting - worker.held)
             need_memory = request.memory - (worker.memory_base - worker.memory_held)
-            lower = [a for a in worker.own.values() if a.request.rank < request.rank and not a.cut
-                     and (cuts or not a.started)]
+            open_to_cuts = [a for a in worker.own.values() if not a.cut and (cuts or not a.started)]
+            lower = [a for a in open_to_cuts if a.request.rank < request.rank]
             lower.sort(key=self._cost, reverse=True)
             victims: list[Attempt] = []
             while lower and max(need, need_memory) > 0:
@@ -237,8 +237,8 @@
 
     def _place(self, request: Request) -> bool:
         """Send to a worker drawn by its room: idle slots before places to wait."""
-        if self.fresh and self.random.random() < self._part() and any(  # all dispatchers see them
-                self._trust(worker, request) and self._send(request, worker) for worker in self.fresh):
+        fresh = self.fresh if self.fresh and self.random.random() < self._part() else ()  # all see them
+        if any(self._trust(worker, request) and self._send(request, worker) for worker in fresh):
             return True  # idle by then, and the operators wait for it to serve
         spec, options, best = request.spec, [], 3
         ran = next((a for a in request.attempts if a.ran), None)
@@ -367,17 +367,17 @@
     def _may_send(self, request: Request, worker: Worker) -> bool:
         """The one guard of sends: rules 1 (ended), 2 (effects), 3 (drains) and 4 (cold workers)."""
         spec, soon = request.spec, self.now + 2 * self.settings.tick_us
-        if (request.done or self.now >= request.deadline or not worker.listed or len(request.attempts)
-                >= request.tries or request.homes and worker.zone not in request.homes
-                or spec.worker_kind not in (-1, worker.kind) or not self._warm_enough(worker, request)):
+        over = request.done or self.now >= request.deadline or len(request.attempts) >= request.tries
+        if over or not worker.listed or (request.homes and worker.zone not in request.homes):
+            return False
+        if spec.worker_kind not in (-1, worker.kind) or not self._warm_enough(worker, request):
             return False
         for attempt in request.attempts:
             if attempt.out and not self.settings.may_duplicate:
                 return False
             if not attempt.ran or spec.effect == Effect.SAFE:
                 continue
-            same = (spec.group == Group.ALL or (spec.group == Group.ZONE and attempt.zone == worker.zone)
-                    or (spec.group == Group.CELL and attempt.cell == worker.cell))
+            same = spec.group == Group.ALL or getattr(attempt, spec.group) == getattr(worker, spec.group)
             if spec.effect == Effect.UNSAFE or not same or soon >= attempt.sent + spec.repeat_window_us:
                 return False
         return True
@@ -419,7 +419,7 @@
         if worker.strikes or worker.health < HEALTHY:
             self._strike(worker, 0)
         attempt = Attempt(request, worker, len(request.attempts), self.now, worker.zone, worker.cell, cut,
-                          started=0 if self.settings.tells_start else self.now)  # starts may not be told
+                          started=0 if self.settings.tells_start else self.now)  # fmt: skip
         self.trial, request.asks = attempt if cut else self.trial, 0
         self.fresh = [other for other in self.fresh if other is not worker]
         request.attempts.append(attempt)
@@ -520,7 +520,7 @@
                 self.pools.leave(old)  # a new process: of an old one its size and attempts out still hold
                 worker = Worker(entry.worker, entry.zone, entry.cell, entry.kind, entry.started_at,
                                 slots=old.slots if old else 1.0, base=1.0, waiting=WAITING_START,
-                                size=entry.size or 1.0, own=old.own if old else {}, listed=False)
+                                size=entry.size or 1.0, own=old.own if old else {}, listed=False)  # fmt: skip
                 self.workers[entry.worker] = worker
             elif entry.state == WorkerState.READY and (entry.zone, entry.cell) != (worker.zone, worker.cell):
                 self.pools.leave(worker)  # the list is true; attempts out keep the group they were sent to
--- a/cedarmill/fleet/follow.py
+++ b/cedarmill/fleet/follow.py
@@ -54,8 +54,9 @@
         self.way = way
         return True
 
-    def look(self, now: int, seen: Mapping[str, Seen], empty: Iterable[str] = (),
-             streaks: Mapping[str, int] = {}) -> Use:  # noqa: B006  fmt: skip
+    def look(
+        self, now: int, seen: Mapping[str, Seen], empty: Iterable[str] = (), streaks: Mapping[str, int] = {}
+    ) -> Use:  # noqa: B006  fmt: skip
         """What to do, by the plan and by what this node sees of zones; `empty`: nobody is listed there."""
         if self.way is None:
             return Use()
--- a/cedarmill/fleet/news.py
+++ b/cedarmill/fleet/news.py
@@ -140,4 +140,3 @@
             return max(0.0, self._usual * fact.slots + since)
         faded = exp(-age / FADE)
         return max(0.0, faded * fact.held + (1 - faded) * self._usual * fact.slots + since * max(1, sharers))
-
--- a/cedarmill/fleet/overload.py
+++ b/cedarmill/fleet/overload.py
@@ -116,8 +116,7 @@
     one.seen = max(one.seen, seen)
     if world.clock - one.at >= STEP_US:
         one.proven = max(good, one.proven - one.proven * FORGET // WHOLE)
-    if _steer(world, one, wants, max(room, one.proven), late, busy, "the fleet", queue,
-              turned):
+    if _steer(world, one, wants, max(room, one.proven), late, busy, "the fleet", queue, turned):
         _say(world, level(wants, world.admission.shed))
 
 
--- a/cedarmill/fleet/traffic.py
+++ b/cedarmill/fleet/traffic.py
@@ -361,7 +361,8 @@
         return []
     every = [world.admission, *world.tight.values()]
     moves = world.zoning.sheds and any(
-        one.shed or one.late >= overload.LATE or one.hand_till > world.clock for one in every)
+        one.shed or one.late >= overload.LATE or one.hand_till > world.clock for one in every
+    )
     return [world.traffic.next, *([min(one.at for one in every) + overload.STEP_US] if moves else [])]
 
 
--- a/cedarmill/fleet/zones.py
+++ b/cedarmill/fleet/zones.py
@@ -138,8 +138,13 @@
         return found
 
 
-def solve(zoning: Zoning, room: Mapping[str, int], spare: Mapping[str, int],
-          demand: Mapping[tuple[str, str], int], links: Mapping[str, str] = {}) -> Flow:  # noqa: B006
+def solve(
+    zoning: Zoning,
+    room: Mapping[str, int],
+    spare: Mapping[str, int],
+    demand: Mapping[tuple[str, str], int],
+    links: Mapping[str, str] = {},
+) -> Flow:  # noqa: B006
     """Fill zones from the strictest reqs to the freest, each local first, then by cost, in even parts.
 
     `room` is what may be in use by plan; `spare` is a last resort, used when no room is left. Since a zone
@@ -443,5 +448,6 @@
     for bound in a.worths.keys() | b.worths.keys():
         one, other = a.worths.get(bound, {}), b.worths.get(bound, {})
         loose += [(one.get(rank, 0), other.get(rank, 0)) for rank in one.keys() | other.keys()]
-    return (all(abs(x - y) <= max(x, y) * SAME // WHOLE + 500 for x, y in pairs)
-            and all(abs(x - y) <= max(x, y) * LOOSE // WHOLE + 1000 for x, y in loose))
+    return all(abs(x - y) <= max(x, y) * SAME // WHOLE + 500 for x, y in pairs) and all(
+        abs(x - y) <= max(x, y) * LOOSE // WHOLE + 1000 for x, y in loose
+    )
--- a/cedarmill/lab/fleet/storms.py
+++ b/cedarmill/lab/fleet/storms.py
@@ -592,8 +592,9 @@
     "news-late": Place(news=2.0),
     # the leader dies when half of the nodes have heard of the cut; another is there after 4 s
     "two-epochs": Place(peak=2.0, lasts=12.0, keepers=(11.6, 15.6), half=(11.0, 15.6)),
-    "probe-storm": Place(nodes=200, executors=1000, normal=0.3, peak=0.301, begins=2.0, lasts=3.0, length=6.0,
-                         forgets=True),  # fmt: skip
+    "probe-storm": Place(
+        nodes=200, executors=1000, normal=0.3, peak=0.301, begins=2.0, lasts=3.0, length=6.0, forgets=True
+    ),  # fmt: skip
 }
 
 
--- a/cedarmill/log.py
+++ b/cedarmill/log.py
@@ -75,8 +75,9 @@
     "exclusions-taken": Event(logging.INFO, "marks of executors taken from the kept file: {names}"),
     "exclusions-unread": Event(logging.WARNING, "kept marks of executors not read: {reason}"),
     "exclusions-unkept": Event(logging.ERROR, "an executor's mark not kept, so not made: {reason}"),
-    "recalled": Event(logging.INFO, "took up what this node's last process learned of {workers} executors "
-                                    "{age:.1f} s ago"),
+    "recalled": Event(
+        logging.INFO, "took up what this node's last process learned of {workers} executors {age:.1f} s ago"
+    ),
     "memory-unread": Event(logging.WARNING, "what an earlier process learned not taken up: {reason}"),
     "memory-unkept": Event(logging.WARNING, "what this process learned not kept: {reason}"),
     "beside-failed": Event(logging.WARNING, "what this node's other process has out not exchanged: {reason}"),
--- a/cedarmill/net/door.py
+++ b/cedarmill/net/door.py
@@ -23,10 +23,18 @@
 ACCEPT_AGAIN_US = 50_000  # after the process ran out of descriptors
 MAX_CALL = 8 * 1024  # bytes of head and body together
 HEAD = b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n%s\r\n"
-REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           408: "Request Timeout",
-           409: "Conflict", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 
 
 Answer = Callable[[int, bytes], None]  # status and text; where a fleet is asked first, it comes later
--- a/cedarmill/net/keeper.py
+++ b/cedarmill/net/keeper.py
@@ -57,8 +57,12 @@
         slices.set_up(world, [Budget(*one) for one in options.budgets])
         if options.regions:
             regions = {name: list(zones) for name, zones in sorted(options.regions.items())}
-            traffic.set_up(world, Zoning(regions, dict(sorted(options.costs.items())), options.safe,
-                                         options.sheds, options.news))
+            traffic.set_up(
+                world,
+                Zoning(
+                    regions, dict(sorted(options.costs.items())), options.safe, options.sheds, options.news
+                ),
+            )
         return w.Snapshot(FIRST, FIRST, config, freeze(world))
     before = restore(text)
     world = thaw(before.data)
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -38,8 +38,10 @@
 KILL_DEADLINE_US = 3_000_000
 KILL_MARGIN_US = 150_000
 CHECK_END_US = 10_000
-SPENT = ("{job_class} {cause}: {attempts} attempts, {before:.2f} s before, {after:.2f} s after, "
-         "{guessed:.2f} s guessed")  # slot-seconds, before and after nobody wanted them
+SPENT = (
+    "{job_class} {cause}: {attempts} attempts, {before:.2f} s before, {after:.2f} s after, "
+    "{guessed:.2f} s guessed"
+)  # slot-seconds, before and after nobody wanted them
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -653,7 +653,6 @@
     assert sends(d.arrive(0, hint_us=400_000))
 
 
-
 def test_cold_worker_gets_no_more_than_this_dispatchers_part_of_its_budget():
     d = Driver(entries=[entry(1, started_at=1_000_000_000)], instances=2)
     worker = d.brain.workers[1]
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -52,6 +52,12 @@
     subprocess.run([sys.executable, "-m", "ruff", "check", "--no-cache", "."], cwd=ROOT, check=True)
 
 
+def test_ruff_format():
+    command = [sys.executable, "-m", "ruff", "format", "--check", "--no-cache", "."]
+    run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    assert run.returncode == 0, run.stdout
+
+
 def test_imports_go_only_where_the_architecture_lets_them():
     command = [str(Path(sys.executable).with_name("lint-imports")), "--no-cache"]
     run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -489,7 +489,6 @@
         self.wait_log("watching from index 8")
         self.assertIn(self.served_by(), (0, 1))
 
-
     def test_truncated_and_over_long_lists_change_nothing_and_are_told_once(self):
         """The last good list serves on, the node asks again by itself, and its log is not filled."""
         for text in ('7\r\n{"index\r\n0\r\n\r\n', f"{5 << 20:x}\r\n" + "x" * (5 << 20)):
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -106,9 +106,12 @@
 class Commands(KeeperCase):
     """What operators ask of the zones, at real keepers."""
 
-    limits = (*KeeperCase.limits, '<limit kind="zone" per="fleet" most="1"/>',
-              '<zones safe="85%"><region name="east"><zone name="a"/><zone name="b"/>'
-              '</region><region name="west"><zone name="c"/></region><cost from="a" to="c" is="5"/></zones>')
+    limits = (
+        *KeeperCase.limits,
+        '<limit kind="zone" per="fleet" most="1"/>',
+        '<zones safe="85%"><region name="east"><zone name="a"/><zone name="b"/>'
+        '</region><region name="west"><zone name="c"/></region><cost from="a" to="c" is="5"/></zones>',
+    )
 
     def fleet(self, *words: str):
         places = ",".join(f"127.0.0.1:{port}" for port in self.ports.values())
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,12 +15,10 @@
 from cedarmill.sim import simhost, wire
 
 ROOT = Path(__file__).parent.parent
-ACCEPT = "041a000300048d4b5d3a91c43fc0000000002ee04000000091f03b7c55d20a6401000000000000" "0003a980"
-SETTLED = "0456000300048d4b5d3a91c40003124a070a0000484401" "00043ecccccd3fa00000430c00003f000000"
+ACCEPT = "041a000300048d4b5d3a91c43fc0000000002ee04000000091f03b7c55d20a64010000000000000003a980"
+SETTLED = "0456000300048d4b5d3a91c40003124a070a000048440100043ecccccd3fa00000430c00003f000000"
 ROWS = (
-    "0406000000000202000000000000000000000000"
-    "3f80000003124a0700"
-    "02000100000000005d142000003fc000002c9011f200"
+    "04060000000002020000000000000000000000003f80000003124a070002000100000000005d142000003fc000002c9011f200"
 )
 
 SETTINGS = {
@@ -66,7 +64,7 @@
     ((_, event),) = decode(SETTLED)
     report = struct.unpack(">4f", struct.pack(">4f", 0.4, 1.25, 140.0, 0.5))
     assert event == api.AttemptEnded(0x48D4B5D3A91C4, 0, 0x3124A07, api.Outcome.OK, True, report)
-    assert decode("04420003" "0000004d") == [(3, api.TimerFired(77))]
+    assert decode("044200030000004d") == [(3, api.TimerFired(77))]
     assert decode("03e800030001270d0e6f2b19") == [(3, api.RequestWithdrawn(0x1270D0E6F2B19))]
     assert decode("03f2000300048d4b5d3a91c40103124a073f00000000") == [
         (3, api.AttemptStarted(0x48D4B5D3A91C4, 0, 0x3124A07))
@@ -85,14 +83,14 @@
 
 
 def test_lists_resolve_in_order_within_a_batch():
-    changed = "0424000304" "0000002900"
+    changed = "04240003040000002900"
     empty = "04060000000000"
     events = decode(ROWS + changed + empty + changed, 4)
     assert [len(event.entries) for _, event in events] == [2, 0]
     first, second = events[0][1].entries
     assert first == api.WorkerEntry(0x3124A07, api.WorkerState.READY, 0, 0, 0, 1.0, 0)
     assert second == api.WorkerEntry(0x2C9011F2, api.WorkerState.READY, 1, 0, 0x5D1420, 1.5, 0)
-    ((_, failed),) = decode("04240003" "00" "00000000" "07")
+    ((_, failed),) = decode("04240003000000000007")
     assert failed == api.WorkerList(api.ListKind.FAILED, [])
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -436,8 +436,19 @@
 
     def setUp(self):
         job = api.JobClass("j", worth=1.0, aim_us=200_000, deadline_us=2 * S, effect=api.Effect.SAFE)
-        self.brain = Brain(api.Settings(instances=1, zone=0, classes=(job,), cold_us=0, cold_share=1.0,
-                                        fall_multiple=3.0, overload_window_us=S, max_attempts=3), seed=1)
+        self.brain = Brain(
+            api.Settings(
+                instances=1,
+                zone=0,
+                classes=(job,),
+                cold_us=0,
+                cold_share=1.0,
+                fall_multiple=3.0,
+                overload_window_us=S,
+                max_attempts=3,
+            ),
+            seed=1,
+        )
         entries = [api.WorkerEntry(n, api.WorkerState.READY, zone=n % 2) for n in range(8)]
         self.brain.handle(0, api.WorkerList(api.ListKind.CACHED, entries))
 
