--- a/cedarmill/net/sessions.py
+++ b/cedarmill/net/sessions.py
@@ -127,6 +127,8 @@
         not read resets the connection, and takes the last answer with it.
         """
         self.ending = True
+        if self.transport.is_closing():  # the client was first
+            return
         self._pause(False)
         self.transport.write_eof()
         self._await(self.turn.now() + linger)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -355,7 +355,12 @@
     def get_extra_info(self, name: str) -> socket.socket:
         return self.sock
 
+    def is_closing(self) -> bool:
+        return self.closed
+
     def write_eof(self) -> None:
+        if self.closed:
+            raise RuntimeError("the handler is closed")  # as the loop's transports do
         self.closed = True  # a session ends its sending side first
 
 
@@ -376,6 +381,20 @@
         clients.close_idle()
         self.assertTrue(session.transport.closed)
 
+    def test_a_session_whose_client_has_just_closed_makes_room_without_a_defect(self):
+        """The loop closes it at the end of this turn; ending its sending side then raised."""
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        clients = Clients(Ticking(), settings(), 1, DeadlineOptions())
+        session = ClientSession(clients)
+        session.transport = Wire(ours)
+        clients.sessions.add(session)
+        clients.rested(session)
+        session.transport.closed = True
+        session.close()
+        self.assertTrue(session.ending)
+
 
 class NoRoom(DoorCase):
     """Descriptors at the node's least: the clients' sessions full of half-written requests."""
