--- a/cedarmill/fleet/views.py
+++ b/cedarmill/fleet/views.py
@@ -7,7 +7,7 @@
 from cedarmill.fleet import overload, permits, release, slices, traffic
 from cedarmill.fleet import words as f
 from cedarmill.fleet.agree.words import Snapshot
-from cedarmill.fleet.commands import ActRelease, AnyRequest, NewRelease
+from cedarmill.fleet.command_types import ActRelease, AnyRequest, NewRelease
 from cedarmill.fleet.evidence import BOUNDS
 from cedarmill.fleet.members import LEASE
 from cedarmill.fleet.overload import Cut
--- a/cedarmill/fleet/words.py
+++ b/cedarmill/fleet/words.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from cedarmill.fleet.agree.words import Message
-from cedarmill.fleet.commands import AnyRequest
+from cedarmill.fleet.command_types import AnyRequest
 from cedarmill.fleet.evidence import Digest
 from cedarmill.fleet.overload import Cut
 from cedarmill.fleet.zones import Row
