--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,6 +1,7 @@
 """Endings at the wrong instant, on the real program: scripted peers hold, split and reset at a known byte."""
 
 import contextlib
+import resource
 import select
 import socket
 import struct
@@ -259,5 +260,36 @@
         self.assertLessEqual(self.descriptors(), self.sockets)
 
 
+class NoDescriptor(NodeCase):
+    """The system gives the process no descriptor, for a connect and for the watch."""
+
+    def limit(self, most: int) -> None:
+        hard = resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE)[1]
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (most, hard))
+
+    def test_a_connect_that_gets_none_never_ran_and_service_comes_back(self):
+        client = self.client()
+        client.request("GET", "/ready")
+        self.assertEqual(client.answer()[0], 200)
+        self.limit(4)
+        self.assertEqual(client.ask("issue").answer()[0], 503)  # a refusal: it may be sent again
+        self.limit(256)
+        statuses = [503]
+        self.servers[0].early = (
+            "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n" + '{"state":"done","result":1}'
+        )
+        self.wait_for(lambda: statuses.append(client.ask("pin").answer()[0]) or statuses[-1] == 200)
+
+    def test_a_watch_that_gets_none_is_asked_for_again_in_time(self):
+        call = self.director.next()
+        self.limit(4)
+        call.wire.close()
+        self.wait_log("watch lost")
+        self.limit(256)
+        began = time.monotonic()
+        self.director.next().head()
+        self.assertLess(time.monotonic() - began, 6)
+
+
 if __name__ == "__main__":
     unittest.main()
