--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -1,6 +1,6 @@
-"""Exchanges on a connection to an executor: an attempt or a probe, from its request to its end.
+"""Exchanges on a connection to an executor, from the request to its end; those of probes have a module.
 
-An exchange builds its request and interprets its answer, which is a stream of JSON lines or a load report.
+An exchange builds its request and interprets its answer, which for an attempt is a stream of JSON lines.
 The sockets are in `net/upstream/connection.py`.
 """
 
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from cedarmill.core.requests import Attempt, Probe
+from cedarmill.core.requests import Attempt
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
 
@@ -16,7 +16,6 @@
     from cedarmill.net.upstream.connection import UpstreamConnection
     from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
 
-PROBE_CONNECT_TIMEOUTS = 2  # a probe's time limit in multiples of the connect timeout
 MAX_LINE_BYTES = 256 * 1024
 FORWARDED_HEADERS = (
     b"x-call-id",
@@ -39,7 +38,6 @@
 
 
 _LINE_DECODER = msgspec.json.Decoder(AttemptLine)
-_LOAD_DECODER = msgspec.json.Decoder(dict[str, float])
 _OUTCOME_BY_FINAL_STATE = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 
 
@@ -244,53 +242,3 @@
     def on_complete(self) -> None:
         """Take the body as the result."""
         self.pending_end = self.pending_end or ExchangeEnd(Outcome.OK, None, bytes(self.body))
-
-
-class ProbeExchange(Exchange):
-    """An exchange that asks an executor for its load report."""
-
-    def __init__(self, pools: "UpstreamPools", pool: "UpstreamPool", probe: Probe) -> None:
-        super().__init__(pools, pool)
-        self.probe, probe.exchange = probe, self
-        due = pools.driver.now() + PROBE_CONNECT_TIMEOUTS * pools.settings.connect_timeout_us
-        self.deadline = pools.driver.timers.add(due, self._on_deadline)
-
-    def _on_deadline(self, now: int) -> None:
-        if self.connection is not None and self.connection.exchange is self:
-            self.connection.discard()
-        self.finish(now, ExchangeEnd(Outcome.TIMEOUT))
-
-    def outcome_if_blocked(self, now: int) -> Outcome | None:
-        """Return MOOT for a probe that was recalled or is no longer needed."""
-        is_wanted = self.probe.exchange is not None and self.pools.dispatch.may_probe(self.probe)
-        return None if is_wanted else Outcome.MOOT
-
-    def encode_request(self, now: int) -> bytes:
-        """Return the request for a load report."""
-        return b"GET /status/load HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.pool.address.host).encode()
-
-    def on_written(self, now: int) -> None:
-        """Mark the probe as written: recalling it is no longer possible."""
-        self.probe.written = True
-
-    def on_body(self, data: bytes) -> None:
-        """Collect the report."""
-        self.body += data
-        if len(self.body) > MAX_LINE_BYTES:
-            raise ValueError("load report is too long")
-
-    def on_complete(self) -> None:
-        """Parse the report, which is JSON or text in the format of the load report header."""
-        load = None
-        if self.body.lstrip()[:1] == b"{":
-            load = _LOAD_DECODER.decode(self.body)
-        elif self.body:
-            load = parse_load_header(bytes(self.body))
-        outcome = {200: Outcome.OK, 503: Outcome.FULL}.get(self.status, Outcome.ERROR)
-        self.pending_end = ExchangeEnd(outcome, self.load_report(load))
-
-    def report_end(self, now: int, end: ExchangeEnd) -> None:
-        """Report the probe's end to the dispatch."""
-        self.pools.driver.timers.cancel(self.deadline)
-        self.probe.exchange = None  # breaks a reference cycle
-        self.pools.dispatch.probe_ended(now, self.probe, end.outcome, end.report)
--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -15,9 +15,9 @@
     AttemptExchange,
     Exchange,
     ExchangeEnd,
-    ProbeExchange,
     RelayedAttemptExchange,
 )
+from cedarmill.net.upstream.probe_exchange import ProbeExchange
 from cedarmill.values import KindOptions, Options
 
 
--- a/tests/net/test_late_answer_end.py
+++ b/tests/net/test_late_answer_end.py
@@ -17,8 +17,9 @@
     IDLE_TIMEOUT_FRACTION,
     UpstreamConnection,
 )
-from cedarmill.net.upstream.exchange import Exchange, ExchangeEnd, ProbeExchange
+from cedarmill.net.upstream.exchange import Exchange, ExchangeEnd
 from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
+from cedarmill.net.upstream.probe_exchange import ProbeExchange
 from cedarmill.values import KindOptions, Options
 from tests.support.builders import settings
 from tests.support.node_case import WAIT, NodeCase
