Move the sending side of an executor's connection into a class of its own

`RequestWriter` writes one request at a time and tells how much of it has left; `UpstreamConnection` keeps opening, reading, ending and the pool. Move only: the timer of a last byte that is held back has a name of its own, where it shared the attribute of the connection's state, and is cancelled at the same moments.

--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -1,11 +1,9 @@
 """One HTTP/1.1 connection to an executor, which carries one exchange at a time.
 
 A connection opens, possibly after waiting for the cluster's permission. From then on it either carries an
-exchange or is idle in its pool. Three flags determine the outcome of an exchange whose connection breaks:
-
-* `handed_to_transport`: the transport has the last byte. A break before that proves that nothing ran.
-* `written`: the last byte has left this process. From then on the attempt may run.
-* `answer.complete`: the answer has ended. The connection is reusable if both sides keep it alive.
+exchange or is idle in its pool. `writer` tells how much of a request has left, which determines the outcome
+of an exchange whose connection breaks. Once `answer.complete`, the connection is reusable if both sides keep
+it alive.
 
 `discard` is the only place that ends a connection; `_terminate` also reports the end to the exchange.
 """
@@ -20,18 +18,16 @@
 from cedarmill.net.socket_state import TRANSPORT_ERRORS, is_closed_or_unknown
 from cedarmill.net.upstream.answer_reader import AnswerReader
 from cedarmill.net.upstream.exchange import ExchangeEnd
+from cedarmill.net.upstream.request_writer import RequestWriter
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.exchange import Exchange
     from cedarmill.net.upstream.pool import UpstreamPool
 
 IDLE_TIMEOUT_FRACTION = 0.5  # fraction of the executor's own idle timeout after which a connection closes
-LAST_BYTE_DELAY_US = 2_000  # an unsafe attempt's last byte follows its other bytes after this delay
 PERMISSION_RETRY_US = 20_000  # interval of the checks whether the cluster permits a connection
 IDLE_REUSE_PAUSE_US = 30_000_000  # unsafe attempts avoid idle connections after one broke under a request
 DUPLICATE_ANSWER_WINDOW_US = 50_000  # an executor may send a second answer this long after the first
-MAX_SINGLE_WRITE_BYTES = 8 * 1024  # longer requests are sent without their last byte first
-SEND_TIMEOUT_US = 50_000  # a request that leaves later overstates the remaining time in its header
 ABORT_RETRY_US = 20_000  # delay before a failed abort of a transport is repeated
 ANSWER_END_TIMEOUT_US = 1_000_000  # time for an HTTP message to end after its final line
 # A connect that fails with one of these lacks a resource of this machine, so the executor is not at fault.
@@ -45,17 +41,13 @@
         self.pool, self.pools, self.driver = pool, pool.pools, pool.pools.driver
         self.transport: asyncio.Transport | None = None
         self.answer = AnswerReader()
+        self.writer = RequestWriter(self)
         self.exchange: Exchange | None = exchange
         exchange.connection = self
-        self.held_last_byte = b""  # last byte of the request while it is held back
         self.reused = False  # whether the connection has carried an exchange before
-        self.handed_to_transport = False
-        self.written = False
         self.closed = False
         self.opened_at = self.idle_since = 0  # us
         self.deadline: Timer | None = None  # timer of the current state
-        self.built_at = 0  # us; when the current request was encoded
-        self._send_timeout: Timer | None = None  # runs while the request is partly unsent
         self._connecting: asyncio.Task[object] | None = None
 
     def open(self) -> None:
@@ -116,63 +108,11 @@
         request_bytes = exchange.encode_request(now)
         self.exchange, exchange.connection = exchange, self
         self.answer.expect(exchange)
-        self.handed_to_transport = self.written = False
-        self.built_at = now
-        if not exchange.is_unsafe and len(request_bytes) <= MAX_SINGLE_WRITE_BYTES:
-            self._write(request_bytes)
-            return
-        # Hold back the last byte: if the request itself breaks the connection, it provably never ran. A
-        # request that leaves slowly is checked again before its last byte.
-        self.held_last_byte = request_bytes[-1:]
-        self._write(request_bytes[:-1])
-        if not self.closed:
-            delay_us = LAST_BYTE_DELAY_US if exchange.is_unsafe else 0
-            self.deadline = self.driver.timers.add(now + delay_us, self._send_last_byte)
-
-    def _write(self, request_bytes: bytes) -> None:
-        """Write bytes to the transport, and abort if they do not leave within SEND_TIMEOUT_US."""
-        assert self.transport is not None
-        try:
-            self.transport.write(request_bytes)
-            has_unsent_bytes = self.transport.get_write_buffer_size() > 0
-        except TRANSPORT_ERRORS:  # the socket broke, and none of these bytes has left
-            self.abort()
-            return
-        if self.held_last_byte or self.transport.is_closing():  # if closing, connection_lost follows
-            return
-        self.handed_to_transport = True
-        if has_unsent_bytes:
-            due = self.built_at + SEND_TIMEOUT_US
-            self._send_timeout = self.driver.timers.add(due, lambda now: self.abort())
-        else:
-            self._on_flushed()
-
-    def _on_flushed(self) -> None:
-        self.driver.timers.cancel(self._send_timeout)
-        self.written = True
-        if self.exchange is not None:
-            self.exchange.on_written(self.driver.now())
-
-    def _send_last_byte(self, now: int) -> None:
-        """Send the last byte after all other bytes have left, unless the exchange is blocked by now."""
-        exchange, transport = self.exchange, self.transport
-        assert exchange is not None and transport is not None
-        outcome = (
-            Outcome.DROPPED if now - self.built_at > SEND_TIMEOUT_US else exchange.outcome_if_blocked(now)
-        )
-        if outcome is not None:
-            self.discard()
-            exchange.finish(now, ExchangeEnd(outcome))
-        elif transport.get_write_buffer_size():
-            self.deadline = self.driver.timers.add(now + LAST_BYTE_DELAY_US, self._send_last_byte)
-        else:
-            last_byte, self.held_last_byte = self.held_last_byte, b""
-            self._write(last_byte)
+        self.writer.send(request_bytes, exchange, now)
 
     def resume_writing(self) -> None:
         """Handle the transport's write buffer becoming empty."""
-        if self.handed_to_transport and not self.written:
-            self._on_flushed()
+        self.writer.on_buffer_empty()
 
     # Reading the answer.
 
@@ -191,13 +131,14 @@
             self._release_after_answer()
         elif exchange.pending_end is not None and not exchange.finished:  # only the message's end is missing
             self.driver.timers.cancel(self.deadline)
+            self.writer.withhold_last_byte()
             self._schedule_abort(now + ANSWER_END_TIMEOUT_US)
         if exchange.pending_end is not None or not is_valid:
             exchange.finish(now, exchange.pending_end or ExchangeEnd(Outcome.RESET))
 
     def _release_after_answer(self) -> None:
         assert self.transport is not None
-        if self.answer.keep_alive and self.written and not self.transport.is_closing():
+        if self.answer.keep_alive and self.writer.written and not self.transport.is_closing():
             self._return_to_pool()
         else:
             self.discard()
@@ -207,7 +148,7 @@
     @guarded_callback
     def eof_received(self) -> None:
         """Remove the connection from the pool, and abort a request that is not fully sent."""
-        if self.exchange is not None and not self.written:
+        if self.exchange is not None and not self.writer.written:
             self.abort()  # otherwise the event loop would send the rest of its buffer first
         self.pool.remove_connection(self)
 
@@ -229,7 +170,7 @@
         if self.transport is None:
             outcome = unopened_outcome
         else:
-            outcome = Outcome.RESET if self.handed_to_transport else Outcome.DROPPED
+            outcome = Outcome.RESET if self.writer.handed_to_transport else Outcome.DROPPED
         exchange.finish(now, ExchangeEnd(outcome))
 
     def discard(self) -> None:
@@ -245,7 +186,7 @@
 
     def _cancel_timers(self) -> None:
         self.driver.timers.cancel(self.deadline)
-        self.driver.timers.cancel(self._send_timeout)
+        self.writer.cancel_timers()
 
     def _abort_transport(self, now: int = 0) -> None:
         assert self.transport is not None
--- a/tests/net/test_upstream_faults.py
+++ b/tests/net/test_upstream_faults.py
@@ -13,14 +13,14 @@
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.config import Address
 from cedarmill.net.loop import EventLoopDriver
-from cedarmill.net.upstream.connection import (
+from cedarmill.net.upstream.connection import UpstreamConnection
+from cedarmill.net.upstream.exchange import Exchange, ExchangeEnd
+from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
+from cedarmill.net.upstream.request_writer import (
     LAST_BYTE_DELAY_US,
     MAX_SINGLE_WRITE_BYTES,
     SEND_TIMEOUT_US,
-    UpstreamConnection,
 )
-from cedarmill.net.upstream.exchange import Exchange, ExchangeEnd
-from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
 from cedarmill.values import KindOptions, Options
 from tests.support.builders import settings
 from tests.support.faulty_node_case import FaultyNodeCase
@@ -406,13 +406,13 @@
         for size, is_unsafe in ((MAX_SINGLE_WRITE_BYTES + 1, False), (100, True)):
             with self.subTest(size):
                 connection, exchange = self.send(50, size, is_unsafe)
-                at = connection.built_at
+                at = connection.writer.built_at
                 self.run_timers(at + LAST_BYTE_DELAY_US)
                 self.assertEqual(len(connection.transport.writes), 1)
                 connection.transport.unsent_bytes, connection.transport.accepted_bytes = 0, size
                 self.run_timers(at + 2 * LAST_BYTE_DELAY_US)
                 self.assertEqual(b"".join(connection.transport.writes), exchange.request_bytes)
-                self.assertTrue(connection.written)
+                self.assertTrue(connection.writer.written)
                 self.run_timers(at + 2 * SEND_TIMEOUT_US)
                 self.assertIsNone(exchange.outcome)
 
@@ -422,7 +422,7 @@
             with self.subTest(size):
                 connection, exchange = self.send(50, size)
                 for step in range(SEND_TIMEOUT_US // LAST_BYTE_DELAY_US + 2):
-                    self.run_timers(connection.built_at + step * LAST_BYTE_DELAY_US)
+                    self.run_timers(connection.writer.built_at + step * LAST_BYTE_DELAY_US)
                 self.assertEqual((exchange.outcome, connection.transport.aborted), (outcome, True))
                 self.assertEqual(exchange.pool.connections, set())
 
@@ -430,12 +430,12 @@
         """Guards against taking the empty buffer of a transport with a failed write for a sent request."""
         connection, exchange = self.send(100, 100, fails_writes=True)
         connection.connection_lost(BrokenPipeError())
-        self.assertEqual((exchange.outcome, connection.written), (Outcome.DROPPED, False))
+        self.assertEqual((exchange.outcome, connection.writer.written), (Outcome.DROPPED, False))
 
     def test_permission_to_send_is_checked_again_before_last_byte(self):
         connection, exchange = self.send(10_000, 100, is_unsafe=True)
         exchange.blocking_outcome = Outcome.MOOT
-        self.run_timers(connection.built_at + LAST_BYTE_DELAY_US)
+        self.run_timers(connection.writer.built_at + LAST_BYTE_DELAY_US)
         self.assertEqual(b"".join(connection.transport.writes), exchange.request_bytes[:-1])
         self.assertEqual((exchange.outcome, connection.transport.aborted), (Outcome.MOOT, True))
 
