Log why the connection of an attempt in flight broke, and who closed it

Nothing told an executor's reset from a close by the node itself: both were `Outcome.RESET`, without a line in the log. The end of an exchange now carries a `BreakReason`, and one WARNING `attempt-broken` a reason (repeats are filtered as ever) tells the operator whether the node closed the connection, the executor did, or it failed or never opened.

Idle connections and unsolicited data are discarded directly: `abort` without an exchange did just that.

--- a/cedarmill/log_events.py
+++ b/cedarmill/log_events.py
@@ -46,6 +46,9 @@
     "accept-failed": Event(logging.WARNING, "accept failed: {reason}", ("listener",)),
     "session-not-opened": Event(logging.WARNING, "client session did not open: {reason}", ("listener",)),
     "executor-connections-full": Event(logging.WARNING, "executor connections at their bound of {bound}"),
+    "attempt-broken": Event(
+        logging.WARNING, "the connection of an attempt in flight broke: {reason}", ("executor",)
+    ),
     "wasted-work": Event(logging.INFO, "wasted work: {summary}", ("rows",)),
     "clock-off": Event(logging.WARNING, "a client's deadline cannot be: {reason}"),
     "overdue-unanswered": Event(logging.ERROR, "request overdue without an answer from the balancer"),
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -17,7 +17,7 @@
 from cedarmill.net.loop import guarded_callback
 from cedarmill.net.socket_state import TRANSPORT_ERRORS, is_closed_or_unknown
 from cedarmill.net.upstream.answer_reader import AnswerReader
-from cedarmill.net.upstream.exchange import ExchangeEnd
+from cedarmill.net.upstream.exchange import BreakReason, ExchangeEnd
 from cedarmill.net.upstream.request_writer import RequestWriter
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
 DUPLICATE_ANSWER_WINDOW_US = 50_000  # an executor may send a second answer this long after the first
 ABORT_RETRY_US = 20_000  # delay before a failed abort of a transport is repeated
 ANSWER_END_TIMEOUT_US = 1_000_000  # time for an HTTP message to end after its final line
+MALFORMED_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_MALFORMED)
 # A connect that fails with one of these lacks a resource of this machine, so the executor is not at fault.
 LOCAL_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
@@ -60,7 +61,9 @@
         if not self.pools.dispatch.may_connect(self.opened_at):
             self.deadline = driver.timers.add(self.opened_at + PERMISSION_RETRY_US, lambda now: self.open())
             return
-        self._schedule_abort(driver.now() + self.pools.settings.connect_timeout_us)
+        self._schedule_abort(
+            driver.now() + self.pools.settings.connect_timeout_us, BreakReason.CONNECT_TIMED_OUT
+        )
         address = self.pool.address
         opening = driver.loop.create_connection(lambda: self, address.host, address.port)
         self._connecting = driver.loop.create_task(opening)
@@ -72,7 +75,8 @@
         error = None if task.cancelled() else task.exception()
         if task.cancelled() or error is not None:
             is_local_error = isinstance(error, OSError) and error.errno in LOCAL_ERRORS
-            self._terminate(Outcome.DROPPED if is_local_error else Outcome.CONNECT_FAILED)
+            unopened_outcome = Outcome.DROPPED if is_local_error else Outcome.CONNECT_FAILED
+            self._terminate(BreakReason.CONNECT_FAILED, unopened_outcome)
 
     @guarded_callback
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -85,7 +89,7 @@
         try:
             self.transport.set_write_buffer_limits(high=0)  # resume_writing then signals an empty buffer
         except TRANSPORT_ERRORS:  # the socket broke since the connect
-            self.abort()
+            self.abort(BreakReason.CONNECTION_FAILED)
             return
         round_trip_us = self.driver.now() - self.opened_at
         margins = self.pools.dispatch.deadline_tracker.margins
@@ -121,7 +125,7 @@
         """Parse a part of the answer; the exchange finishes after the connection is reusable or closed."""
         exchange = self.exchange
         if exchange is None:  # unsolicited data
-            self.abort()
+            self.discard()
             return
         is_valid = self.answer.feed(data)
         now = self.driver.now()
@@ -132,9 +136,9 @@
         elif exchange.pending_end is not None and not exchange.finished:  # only the message's end is missing
             self.driver.timers.cancel(self.deadline)
             self.writer.withhold_last_byte()
-            self._schedule_abort(now + ANSWER_END_TIMEOUT_US)
+            self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
         if exchange.pending_end is not None or not is_valid:
-            exchange.finish(now, exchange.pending_end or ExchangeEnd(Outcome.RESET))
+            exchange.finish(now, exchange.pending_end or MALFORMED_ANSWER)
 
     def _release_after_answer(self) -> None:
         assert self.transport is not None
@@ -149,16 +153,17 @@
     def eof_received(self) -> None:
         """Remove the connection from the pool, and abort a request that is not fully sent."""
         if self.exchange is not None and not self.writer.written:
-            self.abort()  # otherwise the event loop would send the rest of its buffer first
+            # Otherwise the event loop would send the rest of its buffer first.
+            self.abort(BreakReason.CLOSED_BY_EXECUTOR)
         self.pool.remove_connection(self)
 
     @guarded_callback
     def connection_lost(self, error: Exception | None) -> None:
         """Report the end of the transport to the exchange."""
-        self._terminate()
+        self._terminate(BreakReason.CONNECTION_FAILED if error else BreakReason.CLOSED_BY_EXECUTOR)
         self.answer.close()
 
-    def _terminate(self, unopened_outcome: Outcome = Outcome.CONNECT_FAILED) -> None:
+    def _terminate(self, reason: BreakReason, unopened_outcome: Outcome = Outcome.CONNECT_FAILED) -> None:
         """Close the connection and finish its exchange; `unopened_outcome` applies if it never opened."""
         exchange = self.exchange
         self.discard()
@@ -171,7 +176,7 @@
             outcome = unopened_outcome
         else:
             outcome = Outcome.RESET if self.writer.handed_to_transport else Outcome.DROPPED
-        exchange.finish(now, ExchangeEnd(outcome))
+        exchange.finish(now, ExchangeEnd(outcome, reason=reason))
 
     def discard(self) -> None:
         """Close the connection without finishing its exchange."""
@@ -195,10 +200,10 @@
         except TRANSPORT_ERRORS:  # retry, otherwise the descriptor would leak
             self.driver.timers.add(self.driver.now() + ABORT_RETRY_US, self._abort_transport)
 
-    def abort(self) -> None:
-        """Close the connection and finish its exchange."""
+    def abort(self, reason: BreakReason = BreakReason.INTERNAL_ERROR) -> None:
+        """Close the connection and finish its exchange; the default is for a callback that failed."""
         if not self.closed:
-            self._terminate()
+            self._terminate(reason)
 
     def half_close(self) -> None:
         """Drop the exchange and shut down the sending side, which makes the executor stop and close."""
@@ -210,11 +215,11 @@
         except TRANSPORT_ERRORS:
             self.discard()
             return
-        self._schedule_abort(self.driver.now() + ANSWER_END_TIMEOUT_US)
+        self._schedule_abort(self.driver.now() + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
 
-    def _schedule_abort(self, due: int) -> None:
+    def _schedule_abort(self, due: int, reason: BreakReason) -> None:
         """Abort at `due` (us), unless the state changes before."""
-        self.deadline = self.driver.timers.add(due, lambda now: self.abort())
+        self.deadline = self.driver.timers.add(due, lambda now: self.abort(reason))
 
     # Idle.
 
@@ -224,7 +229,8 @@
         self.reused = True
         self.idle_since = self.driver.now()
         self.pool.idle.append(self)
-        self._schedule_abort(self.idle_since + int(self.pools.settings.conn_idle_us * IDLE_TIMEOUT_FRACTION))
+        idle_until = self.idle_since + int(self.pools.settings.conn_idle_us * IDLE_TIMEOUT_FRACTION)
+        self._schedule_abort(idle_until, BreakReason.IDLE_TIMED_OUT)
 
     def is_past_duplicate_answers(self, now: int) -> bool:
         """Return whether a second answer to the last request is ruled out by now."""
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -4,6 +4,7 @@
 The sockets are in `net/upstream/connection.py`.
 """
 
+from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -11,6 +12,7 @@
 from cedarmill.core.requests import Attempt
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
+from cedarmill.log import log_event
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.connection import UpstreamConnection
@@ -41,12 +43,34 @@
 _OUTCOME_BY_FINAL_STATE = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 
 
+class BreakReason(Enum):
+    """Why a connection broke under an exchange, in the words of the log."""
+
+    CLOSED_BY_EXECUTOR = "closed by the executor"
+    CONNECTION_FAILED = "reset or failed"
+    INTERNAL_ERROR = "closed by the node: a callback failed"
+    SEND_TIMED_OUT = "closed by the node: the request did not leave in time"
+    ANSWER_END_TIMED_OUT = "closed by the node: an answer did not end in time"
+    IDLE_TIMED_OUT = "closed by the node: idle for too long"
+    ANSWER_MALFORMED = "closed by the node: the answer is malformed"
+    ANSWER_INCOMPLETE = "the answer ended without a final state"
+    CONNECT_TIMED_OUT = "not opened in time"
+    CONNECT_FAILED = "not opened"
+
+
 class ExchangeEnd(NamedTuple):
-    """The outcome of an exchange, with the executor's load report and an attempt's result if any."""
+    """The outcome of an exchange, with the executor's load report and an attempt's result if any.
+
+    `reason` is set if the connection broke before the answer was complete.
+    """
 
     outcome: Outcome
     report: api.LoadReport | None = None
     result: bytes | None = None
+    reason: BreakReason | None = None
+
+
+INCOMPLETE_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_INCOMPLETE)
 
 
 def ordered_report(names: tuple[str, ...], load: dict[str, float] | None) -> api.LoadReport | None:
@@ -215,11 +239,14 @@
         """Parse a last line without a newline; a stream without a final state counts as reset."""
         if self.pending_end is None and self.body.strip():
             self._read_line(bytes(self.body))
-        self.pending_end = self.pending_end or ExchangeEnd(Outcome.RESET)
+        self.pending_end = self.pending_end or INCOMPLETE_ANSWER
 
     def report_end(self, now: int, end: ExchangeEnd) -> None:
         """Report the attempt's end to the dispatch."""
         self.attempt.exchange = None  # breaks a reference cycle
+        if end.reason is not None:
+            address = self.pool.address
+            log_event("attempt-broken", reason=end.reason.value, executor=f"{address.host}:{address.port}")
         self.pools.dispatch.attempt_ended(now, self.attempt, end.outcome, end.report, end.result)
 
 
--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -74,7 +74,7 @@
     def close_idle(self) -> None:
         """Close the idle connections."""
         for connection in list(self.idle):
-            connection.abort()
+            connection.discard()
 
 
 class UpstreamPools:
@@ -108,7 +108,7 @@
             most_idle_pool = max(self.pools_by_number.values(), key=lambda pool: len(pool.idle), default=None)
             if most_idle_pool is None or not most_idle_pool.idle:
                 return False
-            most_idle_pool.idle[0].abort()
+            most_idle_pool.idle[0].discard()
         return True
 
     # The dispatch's executor port.
--- a/cedarmill/net/upstream/request_writer.py
+++ b/cedarmill/net/upstream/request_writer.py
@@ -11,7 +11,7 @@
 from cedarmill.core.timers import Timer
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.socket_state import TRANSPORT_ERRORS
-from cedarmill.net.upstream.exchange import ExchangeEnd
+from cedarmill.net.upstream.exchange import BreakReason, ExchangeEnd
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.connection import UpstreamConnection
@@ -71,14 +71,16 @@
             transport.write(request_bytes)
             has_unsent_bytes = transport.get_write_buffer_size() > 0
         except TRANSPORT_ERRORS:  # the socket broke, and none of these bytes has left
-            connection.abort()
+            connection.abort(BreakReason.CONNECTION_FAILED)
             return
         if self._held_last_byte or transport.is_closing():  # if closing, connection_lost follows
             return
         self.handed_to_transport = True
         if has_unsent_bytes:
             due = self.built_at + SEND_TIMEOUT_US
-            self._send_timeout = self._timers.add(due, lambda now: connection.abort())
+            self._send_timeout = self._timers.add(
+                due, lambda now: connection.abort(BreakReason.SEND_TIMED_OUT)
+            )
         else:
             self._on_flushed()
 
@@ -93,12 +95,14 @@
         connection, transport = self._connection, self._connection.transport
         exchange = connection.exchange
         assert exchange is not None and transport is not None
-        outcome = (
-            Outcome.DROPPED if now - self.built_at > SEND_TIMEOUT_US else exchange.outcome_if_blocked(now)
-        )
-        if outcome is not None:
+        end: ExchangeEnd | None = None
+        if now - self.built_at > SEND_TIMEOUT_US:
+            end = ExchangeEnd(Outcome.DROPPED, reason=BreakReason.SEND_TIMED_OUT)
+        elif (outcome := exchange.outcome_if_blocked(now)) is not None:
+            end = ExchangeEnd(outcome)
+        if end is not None:
             connection.discard()
-            exchange.finish(now, ExchangeEnd(outcome))
+            exchange.finish(now, end)
         elif transport.get_write_buffer_size():
             self._last_byte_timer = self._timers.add(now + LAST_BYTE_DELAY_US, self._send_last_byte)
         else:
