Cancel the timer of an answer's end when the connection goes back to its pool

What callers saw: 502 for requests that must not be repeated, in flight at executors that were well (they had run, their result was lost); requests that may be repeated ran at two executors.

Cause: a connection kept the handle of its one timer in an attribute. An answer whose final line had come gets 1 s for the end of its message; when the end came, `_return_to_pool` stored the idle timeout over that handle without a cancel, and 1 s after the final line the node aborted the connection under whatever it carried by then.

Mend: `SingleTimer` holds one timer of one purpose, and its `start` cancels the one before, so that no way of returning to the pool can forget it. The connection's state, the last byte that is held back and the time for sending each have one.

--- a/cedarmill/core/timers.py
+++ b/cedarmill/core/timers.py
@@ -45,3 +45,26 @@
 
     def _update_next_due(self) -> None:
         self.next_due = self._callbacks.peekitem(0)[0][0] if self._callbacks else None
+
+
+class SingleTimer:
+    """A timer of one owner and purpose: starting it again replaces the callback that was scheduled before.
+
+    An owner that stored the handles of `Timers.add` itself could overwrite one and never cancel its callback.
+    """
+
+    __slots__ = ("_handle", "_timers")
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._handle: Timer | None = None
+
+    def start(self, due: int, callback: Callback) -> None:
+        """Schedule a callback at `due` (us), in place of the previous one."""
+        self._timers.cancel(self._handle)
+        self._handle = self._timers.add(due, callback)
+
+    def cancel(self) -> None:
+        """Remove the callback, unless it has run."""
+        self._timers.cancel(self._handle)
+        self._handle = None
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -12,7 +12,7 @@
 import errno
 from typing import TYPE_CHECKING, cast
 
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.loop import guarded_callback
 from cedarmill.net.socket_state import TRANSPORT_ERRORS, is_closed_or_unknown
@@ -48,7 +48,7 @@
         self.reused = False  # whether the connection has carried an exchange before
         self.closed = False
         self.opened_at = self.idle_since = 0  # us
-        self.deadline: Timer | None = None  # timer of the current state
+        self._state_timer = SingleTimer(self.driver.timers)  # bounds the current state
         self._connecting: asyncio.Task[object] | None = None
 
     def open(self) -> None:
@@ -59,7 +59,7 @@
         driver = self.driver
         self.opened_at = driver.now()
         if not self.pools.dispatch.may_connect(self.opened_at):
-            self.deadline = driver.timers.add(self.opened_at + PERMISSION_RETRY_US, lambda now: self.open())
+            self._state_timer.start(self.opened_at + PERMISSION_RETRY_US, lambda now: self.open())
             return
         self._schedule_abort(
             driver.now() + self.pools.settings.connect_timeout_us, BreakReason.CONNECT_TIMED_OUT
@@ -81,7 +81,7 @@
     @guarded_callback
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the exchange that the connection was opened for."""
-        self.driver.timers.cancel(self.deadline)
+        self._state_timer.cancel()
         self.transport = cast(asyncio.Transport, transport)
         if self.closed:
             self._abort_transport()
@@ -103,7 +103,7 @@
     def send_exchange(self, exchange: "Exchange") -> None:
         """Send an exchange's request, unless the exchange is blocked by now."""
         now = self.driver.now()
-        self.driver.timers.cancel(self.deadline)
+        self._state_timer.cancel()
         outcome = exchange.outcome_if_blocked(now)
         if outcome is not None:
             self._return_to_pool()
@@ -134,7 +134,6 @@
         elif self.answer.complete:  # released first: the balancer may reuse the connection at once
             self._release_after_answer()
         elif exchange.pending_end is not None and not exchange.finished:  # only the message's end is missing
-            self.driver.timers.cancel(self.deadline)
             self.writer.withhold_last_byte()
             self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
         if exchange.pending_end is not None or not is_valid:
@@ -190,7 +189,7 @@
             self._abort_transport()
 
     def _cancel_timers(self) -> None:
-        self.driver.timers.cancel(self.deadline)
+        self._state_timer.cancel()
         self.writer.cancel_timers()
 
     def _abort_transport(self, now: int = 0) -> None:
@@ -219,7 +218,7 @@
 
     def _schedule_abort(self, due: int, reason: BreakReason) -> None:
         """Abort at `due` (us), unless the state changes before."""
-        self.deadline = self.driver.timers.add(due, lambda now: self.abort(reason))
+        self._state_timer.start(due, lambda now: self.abort(reason))
 
     # Idle.
 
--- a/cedarmill/net/upstream/request_writer.py
+++ b/cedarmill/net/upstream/request_writer.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.socket_state import TRANSPORT_ERRORS
 from cedarmill.net.upstream.exchange import BreakReason, ExchangeEnd
@@ -29,10 +29,10 @@
         self.handed_to_transport = False
         self.written = False
         self.built_at = 0  # us; when the current request was encoded
-        self._connection, self._timers = connection, connection.driver.timers
+        self._connection = connection
         self._held_last_byte = b""  # last byte of the request while it is held back
-        self._last_byte_timer: Timer | None = None
-        self._send_timeout: Timer | None = None  # runs while the request is partly unsent
+        self._last_byte_timer = SingleTimer(connection.driver.timers)
+        self._send_timer = SingleTimer(connection.driver.timers)  # runs while the request is partly unsent
 
     def send(self, request_bytes: bytes, exchange: "Exchange", now: int) -> None:
         """Write the request of an exchange that was encoded now."""
@@ -47,7 +47,7 @@
         self._write(request_bytes[:-1])
         if not self._connection.closed:
             delay_us = LAST_BYTE_DELAY_US if exchange.is_unsafe else 0
-            self._last_byte_timer = self._timers.add(now + delay_us, self._send_last_byte)
+            self._last_byte_timer.start(now + delay_us, self._send_last_byte)
 
     def on_buffer_empty(self) -> None:
         """Handle the transport's write buffer becoming empty."""
@@ -56,12 +56,12 @@
 
     def withhold_last_byte(self) -> None:
         """Never send a last byte that is still held back, because the executor has answered without it."""
-        self._timers.cancel(self._last_byte_timer)
+        self._last_byte_timer.cancel()
 
     def cancel_timers(self) -> None:
         """Stop sending, because the connection ends."""
         self.withhold_last_byte()
-        self._timers.cancel(self._send_timeout)
+        self._send_timer.cancel()
 
     def _write(self, request_bytes: bytes) -> None:
         """Write bytes to the transport, and abort if they do not leave within SEND_TIMEOUT_US."""
@@ -78,14 +78,12 @@
         self.handed_to_transport = True
         if has_unsent_bytes:
             due = self.built_at + SEND_TIMEOUT_US
-            self._send_timeout = self._timers.add(
-                due, lambda now: connection.abort(BreakReason.SEND_TIMED_OUT)
-            )
+            self._send_timer.start(due, lambda now: connection.abort(BreakReason.SEND_TIMED_OUT))
         else:
             self._on_flushed()
 
     def _on_flushed(self) -> None:
-        self._timers.cancel(self._send_timeout)
+        self._send_timer.cancel()
         self.written = True
         if self._connection.exchange is not None:
             self._connection.exchange.on_written(self._connection.driver.now())
@@ -104,7 +102,7 @@
             connection.discard()
             exchange.finish(now, end)
         elif transport.get_write_buffer_size():
-            self._last_byte_timer = self._timers.add(now + LAST_BYTE_DELAY_US, self._send_last_byte)
+            self._last_byte_timer.start(now + LAST_BYTE_DELAY_US, self._send_last_byte)
         else:
             last_byte, self._held_last_byte = self._held_last_byte, b""
             self._write(last_byte)
