Hold every timer that an object owns in a SingleTimer, and mend four that could leak

The same fault was looked for in every place that keeps a timer's handle in an attribute, or adds one for its own state.

| place | could it leak before? | | --- | --- | | UpstreamConnection, retry of a failed abort | yes: each discard of the connection added one; they outlived its loss | | BoundedSession, retry of a failed abort | yes: an abort after the connection was lost scheduled one again | | Acceptor.resume_later | yes: a resume in between left it, and it resumed an acceptor that was paused because it was full, or closed | | NodeRole, next request for the peers | yes: each order that came before a failed reply's retry added another chain of requests | | AdminHandlers, closing of idle clients in a drain | fired for a drain that was over; a counter made that harmless. Now cancelled | | RequestWriter (last byte, send timeout) | no: both were cancelled on every way out | | ProbeExchange.deadline | no, but for a defect in the pool, which is logged; the pool cancelled it from outside, now `withdraw` does | | FramedConnection (connect), ConfigurationReload (retry) | no: one is ever started, or the one before was cancelled first | | DiscoveryClient, ClientConnection (two) | no: cancelled before each start, by the state machine's deadline | | Membership, ReplicaProcess | no: cancelled before each start | | Gossip | no: restarted only when none ran; "none runs" is a flag of its own now | | Dispatch, a request's deadline | no: cancelled before its one change | | ReplicaDisk, SupervisorActions, SupervisorProcess, Shutdown, polls of files and of statuses | no: one at a time by their own flag, or periodic |

--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -12,7 +12,7 @@
 from cedarmill.core.observer import DispatchObserver
 from cedarmill.core.ports import AbsentClient, ClientPort, DiscoveryPort, ExecutorPort
 from cedarmill.core.requests import Attempt, Failed, FinalAnswer, Probe, Refused, Request, Served
-from cedarmill.core.timers import Timers
+from cedarmill.core.timers import SingleTimer, Timers
 from cedarmill.deadlines import propagation
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.balancer import Balancer
@@ -59,10 +59,11 @@
         self.observer.constrain_request(arrival)
         claim = propagation.Claim(arrival.job_class, arrival.slots, due)
         spec = self.balancer.settings.classes[arrival.job_class]
-        request = Request(self._last_request_id, client, payload, spec, claim)
+        timer = SingleTimer(self.timers)
+        request = Request(self._last_request_id, client, payload, spec, claim, timer)
         self.requests[request.id] = request
         self.unanswered += 1
-        request.timer = self.timers.add(due, partial(self._on_deadline, request=request))
+        timer.start(due, partial(self._on_deadline, request=request))
         if self.deadline_tracker.step(now, propagation.RequestArrived(claim)):  # rejected
             self.give_final_answer(now, request.id, Refused())
         else:
@@ -94,9 +95,8 @@
         """Shorten the deadlines of open requests to `until` (us), before the process may be killed."""
         for request in list(self.requests.values()):
             if not request.answered and request.due > until:
-                self.timers.cancel(request.timer)
                 request.due = request.claim.due = until
-                request.timer = self.timers.add(until, partial(self._on_deadline, request=request))
+                request.timer.start(until, partial(self._on_deadline, request=request))
 
     # Events from executors.
 
@@ -279,7 +279,7 @@
 
     def _forget_if_finished(self, request: Request) -> None:
         if request.is_finished:
-            self.timers.cancel(request.timer)
+            request.timer.cancel()
             self.requests.pop(request.id, None)
 
     def _on_deadline(self, now: int, request: Request) -> None:
--- a/cedarmill/core/requests.py
+++ b/cedarmill/core/requests.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from cedarmill.core.ports import ClientPort
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.deadlines import propagation
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
@@ -53,14 +53,20 @@
     __slots__ = ("answered", "attempts", "claim", "client", "due", "id", "payload", "probes", "spec", "timer")
 
     def __init__(
-        self, number: int, client: ClientPort, payload: Any, spec: api.RequestClass, claim: propagation.Claim
+        self,
+        number: int,
+        client: ClientPort,
+        payload: Any,
+        spec: api.RequestClass,
+        claim: propagation.Claim,
+        timer: SingleTimer,
     ) -> None:
         self.id, self.client, self.payload, self.spec = number, client, payload, spec
         self.claim, self.due = claim, claim.due
         self.attempts: list[Attempt] = []
         self.probes: list[Probe] = []  # unanswered probes sent for this request
         self.answered = False
-        self.timer: Timer | None = None  # fires at the deadline
+        self.timer = timer  # fires at the deadline
 
     @property
     def objective_due(self) -> int:
--- a/cedarmill/core/timers.py
+++ b/cedarmill/core/timers.py
@@ -64,6 +64,13 @@
         self._timers.cancel(self._handle)
         self._handle = self._timers.add(due, callback)
 
+    def start_or_cancel(self, due: int | None, callback: Callback) -> None:
+        """Schedule a callback at `due` (us) in place of the previous one, or none if `due` is None."""
+        if due is None:
+            self.cancel()
+        else:
+            self.start(due, callback)
+
     def cancel(self) -> None:
         """Remove the callback, unless it has run."""
         self._timers.cancel(self._handle)
--- a/cedarmill/net/admin/handlers.py
+++ b/cedarmill/net/admin/handlers.py
@@ -9,6 +9,7 @@
 
 from cedarmill.admin.exclusions import DOCUMENT_KIND, Exclusions
 from cedarmill.admin.routes import AdminAction, AdminRequest, AdminResponse
+from cedarmill.core.timers import SingleTimer
 from cedarmill.log import log_event
 from cedarmill.net.admin.server import Answer
 from cedarmill.net.clients.server import ClientServer
@@ -40,7 +41,7 @@
         self.exclusions = Exclusions(node)
         self.submit_to_cluster: Callable[[AdminRequest, Answer], None] | None = None  # Set in a cluster.
         self.excluded_by_cluster: dict[str, int] = {}  # Times of exclusion by executor.
-        self._drain_count = 0  # Number of drains, by which the timer of an earlier one ends.
+        self._idle_close_timer = SingleTimer(driver.timers)  # Runs while clients are drained.
         self._actions = {
             AdminAction.READY: self._report_readiness,
             AdminAction.DRAIN_CLIENTS: self._drain_clients,
@@ -142,26 +143,20 @@
 
     def _drain_clients(self, request: AdminRequest) -> AdminResponse:
         if not self.clients.is_draining_clients:
-            self._drain_count += 1
             self.clients.set_draining_clients(True)
             log_event("clients-draining", sessions=len(self.clients.sessions))
-            drain_number = self._drain_count
-            self.driver.timers.add(
-                self.driver.now() + IDLE_CLOSE_DELAY_US, lambda now: self._close_idle(now, drain_number)
-            )
+            self._idle_close_timer.start(self.driver.now() + IDLE_CLOSE_DELAY_US, self._close_idle)
         return AdminResponse(HTTPStatus.OK, b"evacuating\n")
 
-    def _close_idle(self, now: int, drain_number: int) -> None:
-        if self.clients.is_draining_clients and drain_number == self._drain_count:
-            self.clients.close_idle()
-            self.driver.timers.add(
-                now + IDLE_CLOSE_INTERVAL_US, lambda now: self._close_idle(now, drain_number)
-            )
+    def _close_idle(self, now: int) -> None:
+        self.clients.close_idle()
+        self._idle_close_timer.start(now + IDLE_CLOSE_INTERVAL_US, self._close_idle)
 
     def _rejoin(self, request: AdminRequest) -> AdminResponse:
         if self.is_ending():
             return AdminResponse(HTTPStatus.CONFLICT, b"the process is ending\n")
         if self.clients.is_draining_clients:
+            self._idle_close_timer.cancel()
             self.clients.set_draining_clients(False)
             log_event("rejoined")
         return AdminResponse(HTTPStatus.OK, b"rejoined\n")
--- a/cedarmill/net/bounded_sessions.py
+++ b/cedarmill/net/bounded_sessions.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar, cast
 
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.net.config import Address
 from cedarmill.net.listener import Acceptor, listening_socket
 from cedarmill.net.loop import EventLoopDriver, guarded_callback
@@ -47,7 +47,7 @@
         self.is_finished = False  # The last data was sent; further input is ignored.
         self._listener = listener
         self._connected = False
-        self._deadline: Timer | None = None
+        self._deadline_timer = SingleTimer(self.driver.timers)
 
     @guarded_callback
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -62,7 +62,8 @@
     @guarded_callback
     def connection_lost(self, error: Exception | None) -> None:
         """Unregister the session."""
-        self.driver.timers.cancel(self._deadline)
+        self._connected = False
+        self.cancel_deadline()
         self._listener.remove(self)
         self.on_close()
 
@@ -83,16 +84,13 @@
 
     def set_deadline(self, span: int) -> None:
         """Set the deadline: `on_deadline` is called after `span` microseconds."""
-        self.cancel_deadline()
-        self._deadline = self.driver.timers.add(self.driver.now() + span, self._deadline_passed)
+        self._deadline_timer.start(self.driver.now() + span, self._deadline_passed)
 
     def cancel_deadline(self) -> None:
         """Cancel the deadline."""
-        self.driver.timers.cancel(self._deadline)
-        self._deadline = None
+        self._deadline_timer.cancel()
 
     def _deadline_passed(self, now: int) -> None:
-        self._deadline = None
         self.on_deadline()
 
     def finish(self, text: bytes) -> None:
@@ -125,10 +123,7 @@
             self.transport.abort()
         except TRANSPORT_ERRORS:
             self.is_finished = True
-            self.cancel_deadline()
-            self._deadline = self.driver.timers.add(
-                self.driver.now() + ABORT_RETRY_US, lambda now: self.abort()
-            )
+            self._deadline_timer.start(self.driver.now() + ABORT_RETRY_US, lambda now: self.abort())
 
 
 AnySession = TypeVar("AnySession", bound=BoundedSession)
--- a/cedarmill/net/clients/connection.py
+++ b/cedarmill/net/clients/connection.py
@@ -10,7 +10,7 @@
 
 from cedarmill.core.client_session import SessionLifecycle
 from cedarmill.core.client_session_events import SessionAction, SessionEvent
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.log import log_event
 from cedarmill.net.clients import limits
 from cedarmill.net.loop import EventLoopDriver
@@ -39,9 +39,9 @@
         )
         self.connected = False
         self._last_unacknowledged_bytes = 0  # Value of the previous progress check while closing.
-        self._deadline_timer: Timer | None = None
+        self._deadline_timer = SingleTimer(driver.timers)
         self._deadline_at: int | None = None
-        self._presence_check_timer: Timer | None = None
+        self._presence_check_timer = SingleTimer(driver.timers)
         self._presence_check_at: int | None = None
 
     # Hooks that the subclass implements.
@@ -84,17 +84,13 @@
 
     def set_timers(self) -> None:
         """Reschedule the timers that no longer match the deadlines of the lifecycle."""
-        lifecycle, timers = self.lifecycle, self.driver.timers
+        lifecycle = self.lifecycle
         if lifecycle.deadline != self._deadline_at:
-            timers.cancel(self._deadline_timer)
-            self._deadline_at = due = lifecycle.deadline
-            self._deadline_timer = timers.add(due, self._deadline_passed) if due is not None else None
+            self._deadline_at = lifecycle.deadline
+            self._deadline_timer.start_or_cancel(self._deadline_at, self._deadline_passed)
         if lifecycle.presence_check_at != self._presence_check_at:
-            timers.cancel(self._presence_check_timer)
-            self._presence_check_at = due = lifecycle.presence_check_at
-            self._presence_check_timer = (
-                timers.add(due, self._presence_check_due) if due is not None else None
-            )
+            self._presence_check_at = lifecycle.presence_check_at
+            self._presence_check_timer.start_or_cancel(self._presence_check_at, self._presence_check_due)
 
     def _deadline_passed(self, now: int) -> None:
         self._deadline_at = None
--- a/cedarmill/net/cluster/gossip.py
+++ b/cedarmill/net/cluster/gossip.py
@@ -11,7 +11,7 @@
 
 from cedarmill.cluster import gossip_plan
 from cedarmill.cluster.messages import GossipSubscription, GossipUpdate
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions import interface as api
 from cedarmill.log import log_event
 from cedarmill.net.config import Address
@@ -70,7 +70,8 @@
         self.plan = gossip_plan.GossipPlan()
         self.reports: dict[str, ReceivedReport] = {}  # by executor
         self.followed_reports = self.ignored_reports = 0  # of peers
-        self._timer: Timer | None = None
+        self._timer = SingleTimer(driver.timers)
+        self._is_running = False
 
     # Peers and their executors.
 
@@ -79,15 +80,15 @@
         self.peers = {name: address for name, address in peers.items() if name != self.name}
         for name in [name for name in self.links if name not in self.peers]:
             self._close_connection(self.links.pop(name), "no longer a peer")
-        if self.peers and self._timer is None:
+        if self.peers and not self._is_running:
             self._on_timer(self.driver.now())
 
     def _on_timer(self, now: int) -> None:
         """Maintain all links; runs at each send interval while there are peers."""
-        if not self.peers:
-            self._timer = None
+        self._is_running = bool(self.peers)
+        if not self._is_running:
             return
-        self._timer = self.driver.timers.add(now + SEND_INTERVAL_US, self._on_timer)
+        self._timer.start(now + SEND_INTERVAL_US, self._on_timer)
         self._update_sharing()
         for name in sorted(self.sharing_peers | self.links.keys()):
             link = self.links.get(name)
--- a/cedarmill/net/cluster/member.py
+++ b/cedarmill/net/cluster/member.py
@@ -23,7 +23,7 @@
     ProbeMember,
     SendRequest,
 )
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer, Timer
 from cedarmill.log import log_event
 from cedarmill.net.cluster.member_probes import MemberProbes
 from cedarmill.net.config import Address
@@ -74,7 +74,7 @@
         self._connection: FramedConnection | None = None  # to a replica
         self._pending_requests: dict[int, PendingRequest] = {}
         self._last_request_number = 0
-        self._timer: Timer | None = None
+        self._timer = SingleTimer(driver.timers)
 
     def listen(self, address: Address) -> int:
         """Listen for probes from other members and return the port; raise OSError on failure."""
@@ -106,9 +106,7 @@
     def _carry_out(self, actions: list[Any]) -> None:
         for action in actions:
             self._carry_out_action(action)
-        self.driver.timers.cancel(self._timer)
-        due = max(self.session.due, self.driver.now() + MIN_TIMER_DELAY_US)
-        self._timer = self.driver.timers.add(due, self._on_timer)
+        self._timer.start(max(self.session.due, self.driver.now() + MIN_TIMER_DELAY_US), self._on_timer)
 
     def _carry_out_action(self, action: object) -> None:
         match action:
--- a/cedarmill/net/cluster/node_role.py
+++ b/cedarmill/net/cluster/node_role.py
@@ -19,6 +19,7 @@
 from cedarmill.cluster.messages import Orders, ReadReply, ReadRequest
 from cedarmill.cluster.session import MemberIdentity, MemberReport
 from cedarmill.core.requests import Failed, FinalAnswer, Refused, Request
+from cedarmill.core.timers import SingleTimer
 from cedarmill.log import log_event
 from cedarmill.net.admin.handlers import AdminHandlers
 from cedarmill.net.admin.server import Answer
@@ -87,6 +88,7 @@
                 driver, self.name, identity.zone, discovery, options, holds, self.may_spend
             )
         self._peers_epoch, self._is_requesting_peers = 0, False  # membership epoch of the known peers
+        self._peers_timer = SingleTimer(driver.timers)
         self.gossip = Gossip(driver, self.name, options.cluster, discovery)
         self.membership.probes.accept_peer = self.gossip.accept_peer
         handlers.submit_to_cluster = self.submit
@@ -204,7 +206,7 @@
         if isinstance(reply, ReadReply):
             self._peers_epoch = epoch
             self.gossip.set_peers(msgspec.json.decode(reply.body, type=dict[str, str]))
-        self.driver.timers.add(self.driver.now() + PEERS_REFRESH_DELAY_US, self._refresh_peers)
+        self._peers_timer.start(self.driver.now() + PEERS_REFRESH_DELAY_US, self._refresh_peers)
 
     def _on_lease_expired(self) -> None:
         if self.options.cut_off == "stop":
--- a/cedarmill/net/cluster/replica.py
+++ b/cedarmill/net/cluster/replica.py
@@ -24,7 +24,7 @@
     Unavailable,
 )
 from cedarmill.cluster.replica import Actions, Replica
-from cedarmill.core.timers import Timer, Timers
+from cedarmill.core.timers import SingleTimer, Timers
 from cedarmill.log import log_event
 from cedarmill.net.cluster.replica_disk import ReplicaDisk, log_recovery
 from cedarmill.net.cluster.replica_peers import DIAL_INTERVAL_US, PeerConnections
@@ -76,7 +76,7 @@
         self.has_store = False
         self._is_serving = False
         self._is_flush_scheduled = False
-        self._timer: Timer | None = None
+        self._timer = SingleTimer(self.timers)
         self.disk = ReplicaDisk(
             self.driver, options, directory, self._on_store_opened, self._on_disk_failed, self.loop.stop
         )
@@ -102,7 +102,7 @@
 
     def _on_disk_failed(self) -> None:
         """Stop leading, and reject all open requests."""
-        self.timers.cancel(self._timer)
+        self._timer.cancel()
         if self.has_store:
             self.host.pending.clear()
             self.peers.ask_follower_to_lead()
@@ -133,9 +133,7 @@
         self._schedule_timer()
 
     def _schedule_timer(self) -> None:
-        self.timers.cancel(self._timer)
-        due = max(self.replica.due, self.driver.now() + MIN_TIMER_DELAY_US)
-        self._timer = self.timers.add(due, self._on_timer)
+        self._timer.start(max(self.replica.due, self.driver.now() + MIN_TIMER_DELAY_US), self._on_timer)
 
     def _on_timer(self, now: int) -> None:
         if self.disk.is_failing:
--- a/cedarmill/net/discovery/client.py
+++ b/cedarmill/net/discovery/client.py
@@ -14,7 +14,7 @@
     WatchEvent,
 )
 from cedarmill.core.dispatch import Dispatch
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions import interface as api
 from cedarmill.log import log_event
 from cedarmill.net.config import Address
@@ -46,7 +46,7 @@
         self.is_pushed = not settings.on_request_discovery
         self.watch_machine = DiscoveryWatch(settings.instances, self.is_pushed, random or Random())
         self.connection: WatchConnection | None = None
-        self._deadline: Timer | None = None
+        self._watch_timer = SingleTimer(driver.timers)
         self.logged_watching: bool | None = None  # last state in the log; None before the first line
         self.loss_log_quiet_until = 0  # us; losses before this time are not logged
         self.entries: dict[int, api.EndpointEntry] = {}  # by executor's number, as discovery lists them
@@ -175,9 +175,7 @@
         actions = self.watch_machine.step(self.driver.now(), event)
         # Schedule the deadline first: the watch is renewed even if an action below fails.
         if self.watch_machine.deadline != previous_deadline:
-            self.driver.timers.cancel(self._deadline)
-            due = self.watch_machine.deadline
-            self._deadline = None if due is None else self.driver.timers.add(due, self._on_deadline)
+            self._watch_timer.start_or_cancel(self.watch_machine.deadline, self._on_deadline)
         for action in actions:
             self._execute(action, reason)
 
--- a/cedarmill/net/framing.py
+++ b/cedarmill/net/framing.py
@@ -20,7 +20,7 @@
     Hello,
     ReplicaMessage,
 )
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.log import log_event
 from cedarmill.net.config import Address
 from cedarmill.net.loop import EventLoopDriver, guarded_callback
@@ -105,11 +105,11 @@
         self.dropped_frames = 0  # frames discarded because the peer reads too slowly
         self._reader = FrameReader()
         self._connecting: asyncio.Task[object] | None = None
-        self._deadline: Timer | None = None
+        self._connect_timer = SingleTimer(driver.timers)
 
     def dial(self, address: Address) -> None:
         """Open the connection, or end it after CONNECT_TIMEOUT_US."""
-        self._deadline = self.driver.timers.add(
+        self._connect_timer.start(
             self.driver.now() + CONNECT_TIMEOUT_US, lambda now: self.end("no connection")
         )
         opening = self.driver.loop.create_connection(lambda: self, address.host, address.port)
@@ -125,7 +125,7 @@
     @guarded_callback
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Notify the owner that the connection is open."""
-        self.driver.timers.cancel(self._deadline)
+        self._connect_timer.cancel()
         self.transport = transport
         if self.ended:
             transport.abort()
@@ -178,7 +178,7 @@
         if self.ended:
             return
         self.ended = True
-        self.driver.timers.cancel(self._deadline)
+        self._connect_timer.cancel()
         if self._connecting is not None:
             self._connecting.cancel()
         if self.transport is not None:
--- a/cedarmill/net/listener.py
+++ b/cedarmill/net/listener.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from cedarmill.core.timers import SingleTimer
 from cedarmill.log import log_event
 from cedarmill.net.config import Address
 from cedarmill.net.loop import EventLoopDriver, guarded_callback
@@ -82,6 +83,7 @@
         self._open_session, self._can_accept, self._on_exhausted = open_session, can_accept, on_exhausted
         self._opening: dict[asyncio.Task[Any], socket.socket] = {}
         self._is_reading = False
+        self._resume_timer = SingleTimer(driver.timers)
         # Earliest time at which connections may have been waiting in the backlog, or None (us).
         self.backlog_waiting_since: int | None = None
 
@@ -97,6 +99,7 @@
 
     def resume(self, now: int = 0) -> None:
         """Start accepting connections; ignored once closed."""
+        self._resume_timer.cancel()
         if self._socket is not None and not self._is_reading:
             self._is_reading = True
             self.driver.loop.add_reader(self._socket.fileno(), self._readable)
@@ -115,11 +118,12 @@
     def resume_later(self) -> None:
         """Pause accepting for `ACCEPT_RETRY_US`."""
         self.pause()
-        self.driver.timers.add(self.driver.now() + ACCEPT_RETRY_US, self.resume)
+        self._resume_timer.start(self.driver.now() + ACCEPT_RETRY_US, self.resume)
 
     def close(self) -> None:
         """Close the listening socket; the kernel resets pending connections, open sessions continue."""
         self.pause()
+        self._resume_timer.cancel()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
--- a/cedarmill/net/reload.py
+++ b/cedarmill/net/reload.py
@@ -3,7 +3,7 @@
 import functools
 from collections.abc import Callable
 
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.log import log_event
 from cedarmill.net.config import Config, ConfigError
 from cedarmill.net.discovery.client import DiscoveryClient
@@ -26,12 +26,12 @@
     ) -> None:
         self.driver, self.path, self.config, self.discovery = driver, path, config, discovery
         self.is_draining = is_draining
-        self._retry_timer: Timer | None = None
+        self._retry_timer = SingleTimer(driver.timers)
 
     def begin(self) -> None:
         """Read the configuration after a SIGHUP, in place of a retry that is still scheduled."""
         now = self.driver.now()
-        self.driver.timers.cancel(self._retry_timer)
+        self._retry_timer.cancel()
         self._read(now, retry_until=now + RETRY_TIMEOUT_US)
         self.driver.run_due_timers()
 
@@ -52,7 +52,7 @@
             log_event("reload-failed", reason=error)
             if now < retry_until:
                 retry = functools.partial(self._read, retry_until=retry_until)
-                self._retry_timer = self.driver.timers.add(now + RETRY_INTERVAL_US, retry)
+                self._retry_timer.start(now + RETRY_INTERVAL_US, retry)
             return
         if ignored := self.config.changes_needing_restart(config):
             log_event("reload-ignored", names=", ".join(ignored))
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -49,6 +49,7 @@
         self.closed = False
         self.opened_at = self.idle_since = 0  # us
         self._state_timer = SingleTimer(self.driver.timers)  # bounds the current state
+        self._abort_retry = SingleTimer(self.driver.timers)
         self._connecting: asyncio.Task[object] | None = None
 
     def open(self) -> None:
@@ -160,6 +161,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Report the end of the transport to the exchange."""
         self._terminate(BreakReason.CONNECTION_FAILED if error else BreakReason.CLOSED_BY_EXECUTOR)
+        self._abort_retry.cancel()
         self.answer.close()
 
     def _terminate(self, reason: BreakReason, unopened_outcome: Outcome = Outcome.CONNECT_FAILED) -> None:
@@ -197,7 +199,7 @@
         try:
             self.transport.abort()
         except TRANSPORT_ERRORS:  # retry, otherwise the descriptor would leak
-            self.driver.timers.add(self.driver.now() + ABORT_RETRY_US, self._abort_transport)
+            self._abort_retry.start(self.driver.now() + ABORT_RETRY_US, self._abort_transport)
 
     def abort(self, reason: BreakReason = BreakReason.INTERNAL_ERROR) -> None:
         """Close the connection and finish its exchange; the default is for a callback that failed."""
--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -151,9 +151,5 @@
     def withdraw_probe(self, probe: Probe) -> None:
         """Withdraw a probe that has not been written."""
         exchange, probe.exchange = cast(ProbeExchange | None, probe.exchange), None
-        if exchange is None:
-            return
-        exchange.finished = True
-        self.driver.timers.cancel(exchange.deadline)
-        if exchange.connection is not None and exchange.connection.exchange is exchange:
-            exchange.connection.discard()
+        if exchange is not None:
+            exchange.withdraw()
--- a/cedarmill/net/upstream/probe_exchange.py
+++ b/cedarmill/net/upstream/probe_exchange.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cedarmill.core.requests import Probe
+from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.upstream.exchange import MAX_LINE_BYTES, Exchange, ExchangeEnd, parse_load_header
 
@@ -22,7 +23,15 @@
         super().__init__(pools, pool)
         self.probe, probe.exchange = probe, self
         due = pools.driver.now() + PROBE_CONNECT_TIMEOUTS * pools.settings.connect_timeout_us
-        self.deadline = pools.driver.timers.add(due, self._on_deadline)
+        self._deadline_timer = SingleTimer(pools.driver.timers)
+        self._deadline_timer.start(due, self._on_deadline)
+
+    def withdraw(self) -> None:
+        """End the exchange without a report; its connection, if any, closes."""
+        self.finished = True
+        self._deadline_timer.cancel()
+        if self.connection is not None and self.connection.exchange is self:
+            self.connection.discard()
 
     def _on_deadline(self, now: int) -> None:
         if self.connection is not None and self.connection.exchange is self:
@@ -60,6 +69,6 @@
 
     def report_end(self, now: int, end: ExchangeEnd) -> None:
         """Report the probe's end to the dispatch."""
-        self.pools.driver.timers.cancel(self.deadline)
+        self._deadline_timer.cancel()
         self.probe.exchange = None  # breaks a reference cycle
         self.pools.dispatch.probe_ended(now, self.probe, end.outcome, end.report)
