Fail a test whose node schedules a timer twice or leaves one for an owner that has ended

`tests/support/timer_guard.py` starts the program for every case of a real node, wraps its timer queue, and reports a second timer of one owner and purpose, a timer that fires or is left for an owner that has ended, and a timer whose purpose its table does not name. At the end of a case the test asks for a check (SIGUSR2; between two callbacks of the loop: a check in the middle of one reported three sessions that were just ending).

--- a/tests/support/node_case.py
+++ b/tests/support/node_case.py
@@ -8,7 +8,6 @@
 import select
 import signal
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -17,6 +16,7 @@
 from pathlib import Path
 from typing import Any
 
+from tests.support import timer_guard
 from tests.support.node_client import Client, call_admin_api, read_answer
 from tests.support.node_settings import SETTINGS
 from tests.support.stand_in_server import WAIT, ReceivedRequest, ServerConnection, StandInServer
@@ -133,10 +133,17 @@
 
     def command(self, module: str, *arguments: str) -> list[str]:
         """Return the command line that runs a module of the program."""
-        return [sys.executable, "-m", module, *arguments]
+        return timer_guard.command(module, *arguments)
 
     def wait_log(self, words: str) -> str:
         """Read the log up to a line that contains this text, and return the line."""
+        line = self._read_log(words)
+        if line is None:
+            raise AssertionError(f"no {words!r} in {self.log}")
+        return line
+
+    def _read_log(self, words: str) -> str | None:
+        """Read the log up to a line that contains this text; return None if the process ends before."""
         # Killing the node ends a read that would otherwise block the test.
         timeout = threading.Timer(WAIT, self.process.kill)
         timeout.start()
@@ -147,7 +154,7 @@
                     return line
         finally:
             timeout.cancel()
-        raise AssertionError(f"no {words!r} in {self.log}")
+        return None
 
     def reload(self, text: str) -> None:
         """Replace the configuration file atomically, as the platform does, and send SIGHUP."""
@@ -160,11 +167,21 @@
         self.process.send_signal(signal.SIGTERM)
 
     def stop_node(self) -> None:
-        """Kill the node if it still runs, and check that its log has no traceback."""
+        """Kill the node if it still runs; its log has no traceback, and no timer outlives its owner."""
         if self.process.poll() is None:
+            if not self._is_stopped():
+                self.process.send_signal(signal.SIGUSR2)
+                self._read_log(timer_guard.CHECKED)
             self.process.kill()
         unread_log = self.process.communicate(timeout=WAIT)[1]
-        self.assertNotIn("Traceback", "\n".join(self.log) + unread_log)
+        self.log += unread_log.splitlines()
+        self.assertNotIn("Traceback", "\n".join(self.log))
+        self.assertEqual([line for line in self.log if timer_guard.VIOLATION in line], [])
+
+    def _is_stopped(self) -> bool:
+        """Return whether the node is stopped by SIGSTOP."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        return stat.rpartition(")")[2].split()[0] == "T"
 
     def logged_port(self) -> int:
         """Return the port named in the last line of the log, which may be text or JSON."""
--- a/tests/support/slow_clock.py
+++ b/tests/support/slow_clock.py
@@ -53,5 +53,8 @@
 if __name__ == "__main__":
     install(sys.argv[1])
     sys.path[0] = str(ROOT)
+    from tests.support.timer_guard import TimerGuard
+
+    TimerGuard().install()
     sys.argv = sys.argv[2:]
     runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
--- a/tests/support/system_call_faults.py
+++ b/tests/support/system_call_faults.py
@@ -277,7 +277,10 @@
 
 
 if __name__ == "__main__":
-    FaultLayer(sys.argv[1]).install()
     sys.path[0] = str(ROOT)
+    from tests.support.timer_guard import TimerGuard
+
+    TimerGuard().install()  # before its system calls fail
+    FaultLayer(sys.argv[1]).install()
     sys.argv = sys.argv[2:]
     runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
