Send a request elsewhere or refuse it if it is preempted before it has left the node

What callers saw: 502, which says that a request may have run, for requests that must not be repeated and whose last byte had not left the node.

Cause: `ActionRunner.cancel` reported CANCELLED for each cancelled attempt, and CANCELLED counts as one that may have run. It never asked how much had been sent: the connection may still be opening, and the last byte of a request that must not be repeated is held back for 2 ms.

Mend: the port tells whether the transport lacks the last byte (`is_unsent`); the attempt then ends as the new Outcome.RECALLED, one of NEVER_RAN, and its connection is aborted, as before. What the transport has, flushed or not, still counts as one that may have run. The decisions needed no change: their guard of refusals and retries goes by NEVER_RAN.

--- a/cedarmill/core/actions.py
+++ b/cedarmill/core/actions.py
@@ -68,8 +68,14 @@
         if request is None or (attempt := request.attempts[action.attempt]).outcome is not None:
             return
         self.dispatch.deadline_tracker.step(now, propagation.AttemptAbandoned(request.claim, attempt.number))
-        never_ran = request.claim.state is propagation.ClaimState.CLIENT_LEFT and not attempt.written
-        self.cancel_attempt(now, attempt, Outcome.MOOT if never_ran else Outcome.CANCELLED)
+        self.cancel_attempt(now, attempt, self._outcome_of_cancel(attempt))
+
+    def _outcome_of_cancel(self, attempt: Attempt) -> Outcome:
+        """Return the outcome of a cancelled attempt; RECALLED and MOOT prove that it never ran."""
+        has_left = attempt.request.claim.state is propagation.ClaimState.CLIENT_LEFT
+        if has_left and not attempt.written:
+            return Outcome.MOOT
+        return Outcome.RECALLED if self.dispatch.executors.is_unsent(attempt) else Outcome.CANCELLED
 
     def cancel_attempt(self, now: int, attempt: Attempt, outcome: Outcome, force: bool = False) -> None:
         """Cancel an attempt; one that its executor cannot stop keeps its slots until it ends."""
--- a/cedarmill/core/ports.py
+++ b/cedarmill/core/ports.py
@@ -37,6 +37,9 @@
         False means that it cannot be cancelled and runs on until its own end; `force` forces the end.
         """
 
+    def is_unsent(self, attempt: "Attempt") -> bool:
+        """Return whether an attempt's last byte has provably not been sent, so that it cannot have run."""
+
     def probe(self, probe: "Probe") -> None:
         """Request a load report from an executor."""
 
--- a/cedarmill/decisions/interface.py
+++ b/cedarmill/decisions/interface.py
@@ -1,8 +1,7 @@
 """Interface of the balancer: its settings, the events it handles and the actions it returns.
 
 Times are whole microseconds. A load report is a tuple of floats in the order of `Settings.report_fields`, or
-None when no report arrived. The balancer reads the fields free_slots, free_memory, errors_per_s and queue,
-and ignores all others.
+None if there is none. The balancer reads only the fields free_slots, free_memory, errors_per_s and queue.
 """
 
 from dataclasses import dataclass
@@ -28,12 +27,13 @@
     DROPPED = 55  # an established connection broke before the whole request was sent
     RESET = 60  # the connection broke after the request was sent
     CANCELLED = 70
+    RECALLED = 75  # cancelled before the whole request was sent
     MOOT = 80  # abandoned before it was sent
     UNUSABLE = 90  # the request is at fault, so every other executor would refuse it too
 
 
 UNLIMITED_ATTEMPTS = 1 << 30
-NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.DROPPED, Outcome.MOOT))
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.DROPPED, Outcome.RECALLED, Outcome.MOOT))
 
 
 class ExecutorState(IntEnum):
--- a/cedarmill/net/cluster/routing.py
+++ b/cedarmill/net/cluster/routing.py
@@ -30,7 +30,9 @@
 MAX_RUN_TIME_SAMPLES = 50
 UNREACHED_OUTCOMES = frozenset((Outcome.CONNECT_FAILED,))
 FAILED_OUTCOMES = frozenset((Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.DROPPED))
-IGNORED_OUTCOMES = frozenset((Outcome.MOOT, Outcome.CANCELLED, Outcome.UNUSABLE, Outcome.FULL))
+IGNORED_OUTCOMES = frozenset(
+    (Outcome.MOOT, Outcome.CANCELLED, Outcome.RECALLED, Outcome.UNUSABLE, Outcome.FULL)
+)
 
 
 class ClusterRouting:
--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -140,6 +140,14 @@
             connection.discard()
         return True
 
+    def is_unsent(self, attempt: Attempt) -> bool:
+        """Return whether the transport lacks an attempt's last byte, so that closing it prevents a run."""
+        exchange = cast(AttemptExchange | None, attempt.exchange)
+        connection = exchange.connection if exchange is not None else None
+        if exchange is None or connection is None or connection.exchange is not exchange:
+            return False
+        return not connection.writer.handed_to_transport
+
     def probe(self, probe: Probe) -> None:
         """Ask an executor for its load report."""
         pool = self.pools_by_number.get(probe.executor)
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -26,6 +26,7 @@
         self.cancelled: list = []
         self.probes: list = []
         self.recalled: list = []
+        self.unsent: list = []  # attempts whose last byte has not been sent
         self.failing_calls: set[str] = set()
 
     def handle(self, now: int, event: api.Event):
@@ -48,6 +49,9 @@
     def cancel(self, attempt, force: bool = False) -> None:
         self._record("cancel", self.cancelled, attempt)
 
+    def is_unsent(self, attempt) -> bool:
+        return attempt in self.unsent
+
     def probe(self, probe) -> None:
         self._record("probe", self.probes, probe)
 
@@ -115,6 +119,18 @@
         outcomes = [(e.attempt, e.final) for e in self.ports.events if isinstance(e, api.AttemptEnded)]
         self.assertEqual(outcomes, [(0, True), (1, True)])
 
+    def test_cancelled_attempt_counts_as_never_run_only_if_its_last_byte_has_not_been_sent(self):
+        """Guards against failing a request that is preempted before it is sent, and against the reverse."""
+        for is_unsent, outcome in ((True, Outcome.RECALLED), (False, Outcome.CANCELLED)):
+            with self.subTest(is_unsent=is_unsent):
+                request = self.arrive()
+                self.dispatch.actions.run(1, api.Send(request.id, 1))
+                attempt = request.attempts[0]
+                self.ports.unsent = [attempt] if is_unsent else []
+                self.dispatch.actions.run(2, api.Cancel(request.id, 0))
+                self.assertEqual(attempt.outcome, outcome)
+                self.assertEqual(outcome in api.NEVER_RAN, is_unsent)
+
     def test_unanswered_request_fails_at_its_deadline(self):
         """Attempts time out first, so that the balancer can answer; then the dispatch fails the request."""
         self.arrive(api.Send(1, 1), due=1_000)
--- a/tests/decisions/test_balancer.py
+++ b/tests/decisions/test_balancer.py
@@ -95,6 +95,21 @@
         assert answers in (expected, ["Send"]) if effect == Effect.SAFE else answers == expected
 
 
+@pytest.mark.parametrize("effect", [Effect.SAFE, Effect.KEYED, Effect.UNSAFE])
+def test_request_preempted_before_it_was_sent_is_sent_elsewhere_or_refused(effect):
+    """Guards against failing a request that never ran, whatever its effect."""
+    low_class = api.RequestClass("low", 0.5, 200_000, 5_000_000, effect, DeduplicationScope.ZONE, 3_000_000)
+    for added_executors, expected in (([], ["Refuse"]), ([entry(2)], ["Send"])):
+        driver = Driver(low_class, UNSAFE_CLASS, executor_count=1)
+        driver.report(1, 1)
+        while send_actions(driver.arrive(0)):
+            pass
+        cancellation = next(a for a in driver.arrive(1) if isinstance(a, api.Cancel))
+        driver.feed(api.EndpointList(api.EndpointListKind.DELTA, added_executors))
+        ended = driver.end(cancellation.request, 1, Outcome.RECALLED, final=False)
+        assert action_names(ended) == expected
+
+
 def test_slots_of_preempted_running_attempts_stay_held_until_the_next_report():
     driver = Driver(executor_count=1)
     driver.report(1, 1)
