--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -206,11 +206,6 @@
             return Outcome.DROPPED
         return None
 
-    def busy_executors(self) -> set[int]:
-        """Return the executors with attempts in flight."""
-        attempts = [attempt for request in self.requests.values() for attempt in request.attempts]
-        return {attempt.executor for attempt in attempts if attempt.outcome is None}
-
     def may_probe(self, probe: Probe) -> bool:
         """Return whether a probe may still be written; one for a client that has left may not."""
         return probe.request is None or probe.request.claim.state is not propagation.ClaimState.CLIENT_LEFT
@@ -223,13 +218,6 @@
         """Return whether a cluster's budget allows another call to discovery now."""
         return self.observer.may_spend(now, "lists")
 
-    def free_share(self) -> float:
-        """Return the share (0 to 1) of all listed executors' slots that this node's work does not use."""
-        listed = [executor for executor in self.balancer.executors.values() if executor.listed]
-        slots = sum(executor.slots for executor in listed)
-        free = sum(max(0.0, executor.slots - executor.held_slots) for executor in listed)
-        return free / slots if slots else 0.0
-
     # Events to the balancer.
 
     def deliver(self, now: int, event: api.Event, request: Request | None = None) -> None:
--- a/cedarmill/net/cluster/node_reports.py
+++ b/cedarmill/net/cluster/node_reports.py
@@ -1,6 +1,7 @@
 """Builds the parts of a node's heartbeat that cover its executors and its drains."""
 
 from cedarmill.cluster.messages import ExecutorObservation, Orders
+from cedarmill.core.executor_usage import busy_executors
 from cedarmill.decisions import interface as api
 from cedarmill.net.clients.server import ClientServer
 from cedarmill.net.cluster.routing import ClusterRouting
@@ -33,7 +34,7 @@
             return {}
         dispatch = self.discovery.dispatch
         closed_zones = orders.routes is not None and orders.routes.closed_zones
-        busy = dispatch.busy_executors() if orders.excluded_executors or closed_zones else set()
+        busy = busy_executors(dispatch) if orders.excluded_executors or closed_zones else set()
         drained: dict[str, int] = {}
         if closed_zones and routing is not None:
             drained |= routing.drained_zones(busy)
--- a/cedarmill/net/health/listener.py
+++ b/cedarmill/net/health/listener.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from cedarmill.core.executor_usage import free_share
 from cedarmill.health.codecs import agent, proxy
 from cedarmill.health.codecs.http import Answer, Check, compose
 from cedarmill.net.bounded_sessions import BoundedListener, BoundedSession, ListenerLimits, OverflowPolicy
@@ -47,7 +48,7 @@
             return agent.AgentReply(admin=agent.Admin.DRAIN, reason=DRAINING)
         if not self.clients.dispatch.ready_executors:
             return agent.AgentReply(agent.Status.DOWN, agent.Admin.READY, reason=NO_EXECUTOR)
-        weight = max(1, round(100 * self.clients.dispatch.free_share()))  # 0% would mean a drain.
+        weight = max(1, round(100 * free_share(self.clients.dispatch)))  # 0% would mean a drain.
         return agent.AgentReply(agent.Status.UP, agent.Admin.READY, weight)
 
     def answer(self, target: str, as_json: bool) -> Answer | None:
