Say before a kill that a request may have run once the transport has its last byte

The new cases of tests/core/test_dispatch.py hold it; a case that makes the socket stop in that turn is not there, the window is one turn of the loop. The dispatch that tests/net/test_client_socket_errors.py stands in has no attempts; it now says so by `may_have_run`, and its assertions are the same.

--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -206,6 +206,15 @@
             return Outcome.DROPPED
         return None
 
+    def may_have_run(self, request: Request) -> bool:
+        """Return whether an attempt of a request may run now or may have run."""
+        return any(
+            not self.executors.is_unsent(attempt)
+            if attempt.outcome is None
+            else attempt.outcome not in api.NEVER_RAN
+            for attempt in request.attempts
+        )
+
     def may_probe(self, probe: Probe) -> bool:
         """Return whether a probe may still be written; one for a client that has left may not."""
         return probe.request is None or probe.request.claim.state is not propagation.ClaimState.CLIENT_LEFT
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -168,8 +168,8 @@
 
     def answer_before_kill(self) -> None:
         """Answer all pending requests now, because the process may be killed soon."""
-        forwarded = self.request is not None and any(attempt.written for attempt in self.request.attempts)
-        self.answer_all(502 if forwarded else 503, 503)
+        may_have_run = self.request is not None and self.server.dispatch.may_have_run(self.request)
+        self.answer_all(502 if may_have_run else 503, 503)
 
     def answer_all(self, in_flight_status: int, unsent_status: int) -> None:
         """Answer all pending requests in order and close; nothing more is forwarded.
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -131,6 +131,24 @@
                 self.assertEqual(attempt.outcome, outcome)
                 self.assertEqual(outcome in api.NEVER_RAN, is_unsent)
 
+    def test_request_may_have_run_once_the_transport_has_its_last_byte_written_or_not(self):
+        """Guards against answering 503 before a kill for a request whose bytes may just have left."""
+        request = self.arrive(api.Send(1, 1))
+        (attempt,) = request.attempts
+        self.ports.unsent = [attempt]
+        self.assertFalse(self.dispatch.may_have_run(request))
+        self.ports.unsent = []
+        self.assertFalse(attempt.written)
+        self.assertTrue(self.dispatch.may_have_run(request))
+
+    def test_request_whose_attempts_all_ended_as_never_run_has_not_run(self):
+        for outcome in Outcome:
+            with self.subTest(outcome):
+                request = self.arrive()
+                self.dispatch.actions.run(1, api.Send(request.id, 1))
+                self.dispatch.attempt_ended(2, request.attempts[0], outcome)
+                self.assertEqual(self.dispatch.may_have_run(request), outcome not in api.NEVER_RAN)
+
     def test_unanswered_request_fails_at_its_deadline(self):
         """Attempts time out first, so that the balancer can answer; then the dispatch fails the request."""
         self.arrive(api.Send(1, 1), due=1_000)
--- a/tests/net/test_client_socket_errors.py
+++ b/tests/net/test_client_socket_errors.py
@@ -218,6 +218,7 @@
         )
         clients.dispatch, request = Mock(), Mock(answered=False, attempts=[])
         clients.dispatch.deadline_tracker.margins.answer_margin.return_value = 0
+        clients.dispatch.may_have_run.return_value = False
         clients.dispatch.arrive.return_value = request
         clients.classes = {"pin": 0}
         clients._acceptor = Mock()
