--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -12,7 +12,7 @@
 from cedarmill.core.observer import DispatchObserver
 from cedarmill.core.ports import AbsentClient, ClientPort, DiscoveryPort, ExecutorPort
 from cedarmill.core.requests import Attempt, Failed, FinalAnswer, Probe, Refused, Request, Served
-from cedarmill.core.timers import Timers
+from cedarmill.core.timers import SingleTimer, Timers
 from cedarmill.deadlines import propagation
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.balancer import Balancer
@@ -59,10 +59,11 @@
         self.observer.constrain_request(arrival)
         claim = propagation.Claim(arrival.job_class, arrival.slots, due)
         spec = self.balancer.settings.classes[arrival.job_class]
-        request = Request(self._last_request_id, client, payload, spec, claim)
+        timer = SingleTimer(self.timers)
+        request = Request(self._last_request_id, client, payload, spec, claim, timer)
         self.requests[request.id] = request
         self.unanswered += 1
-        request.timer = self.timers.add(due, partial(self._on_deadline, request=request))
+        timer.start(due, partial(self._on_deadline, request=request))
         if self.deadline_tracker.step(now, propagation.RequestArrived(claim)):  # rejected
             self.give_final_answer(now, request.id, Refused())
         else:
@@ -94,9 +95,8 @@
         """Shorten the deadlines of open requests to `until` (us), before the process may be killed."""
         for request in list(self.requests.values()):
             if not request.answered and request.due > until:
-                self.timers.cancel(request.timer)
                 request.due = request.claim.due = until
-                request.timer = self.timers.add(until, partial(self._on_deadline, request=request))
+                request.timer.start(until, partial(self._on_deadline, request=request))
 
     # Events from executors.
 
@@ -206,10 +206,14 @@
             return Outcome.DROPPED
         return None
 
-    def busy_executors(self) -> set[int]:
-        """Return the executors with attempts in flight."""
-        attempts = [attempt for request in self.requests.values() for attempt in request.attempts]
-        return {attempt.executor for attempt in attempts if attempt.outcome is None}
+    def may_have_run(self, request: Request) -> bool:
+        """Return whether an attempt of a request may run now or may have run."""
+        return any(
+            not self.executors.is_unsent(attempt)
+            if attempt.outcome is None
+            else attempt.outcome not in api.NEVER_RAN
+            for attempt in request.attempts
+        )
 
     def may_probe(self, probe: Probe) -> bool:
         """Return whether a probe may still be written; one for a client that has left may not."""
@@ -223,13 +227,6 @@
         """Return whether a cluster's budget allows another call to discovery now."""
         return self.observer.may_spend(now, "lists")
 
-    def free_share(self) -> float:
-        """Return the share (0 to 1) of all listed executors' slots that this node's work does not use."""
-        listed = [executor for executor in self.balancer.executors.values() if executor.listed]
-        slots = sum(executor.slots for executor in listed)
-        free = sum(max(0.0, executor.slots - executor.held_slots) for executor in listed)
-        return free / slots if slots else 0.0
-
     # Events to the balancer.
 
     def deliver(self, now: int, event: api.Event, request: Request | None = None) -> None:
@@ -279,7 +276,7 @@
 
     def _forget_if_finished(self, request: Request) -> None:
         if request.is_finished:
-            self.timers.cancel(request.timer)
+            request.timer.cancel()
             self.requests.pop(request.id, None)
 
     def _on_deadline(self, now: int, request: Request) -> None:
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -1,11 +1,9 @@
 """One HTTP/1.1 connection to an executor, which carries one exchange at a time.
 
 A connection opens, possibly after waiting for the cluster's permission. From then on it either carries an
-exchange or is idle in its pool. Three flags determine the outcome of an exchange whose connection breaks:
-
-* `handed_to_transport`: the transport has the last byte. A break before that proves that nothing ran.
-* `written`: the last byte has left this process. From then on the attempt may run.
-* `answer.complete`: the answer has ended. The connection is reusable if both sides keep it alive.
+exchange or is idle in its pool. `writer` tells how much of a request has left, which determines the outcome
+of an exchange whose connection breaks. Once `answer.complete`, the connection is reusable if both sides keep
+it alive.
 
 `discard` is the only place that ends a connection; `_terminate` also reports the end to the exchange.
 """
@@ -14,26 +12,25 @@
 import errno
 from typing import TYPE_CHECKING, cast
 
-from cedarmill.core.timers import Timer
+from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.loop import guarded_callback
 from cedarmill.net.socket_state import TRANSPORT_ERRORS, is_closed_or_unknown
 from cedarmill.net.upstream.answer_reader import AnswerReader
-from cedarmill.net.upstream.exchange import ExchangeEnd
+from cedarmill.net.upstream.exchange import BreakReason, ExchangeEnd
+from cedarmill.net.upstream.request_writer import RequestWriter
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.exchange import Exchange
     from cedarmill.net.upstream.pool import UpstreamPool
 
 IDLE_TIMEOUT_FRACTION = 0.5  # fraction of the executor's own idle timeout after which a connection closes
-LAST_BYTE_DELAY_US = 2_000  # an unsafe attempt's last byte follows its other bytes after this delay
 PERMISSION_RETRY_US = 20_000  # interval of the checks whether the cluster permits a connection
 IDLE_REUSE_PAUSE_US = 30_000_000  # unsafe attempts avoid idle connections after one broke under a request
 DUPLICATE_ANSWER_WINDOW_US = 50_000  # an executor may send a second answer this long after the first
-MAX_SINGLE_WRITE_BYTES = 8 * 1024  # longer requests are sent without their last byte first
-SEND_TIMEOUT_US = 50_000  # a request that leaves later overstates the remaining time in its header
 ABORT_RETRY_US = 20_000  # delay before a failed abort of a transport is repeated
 ANSWER_END_TIMEOUT_US = 1_000_000  # time for an HTTP message to end after its final line
+MALFORMED_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_MALFORMED)
 # A connect that fails with one of these lacks a resource of this machine, so the executor is not at fault.
 LOCAL_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
@@ -45,17 +42,14 @@
         self.pool, self.pools, self.driver = pool, pool.pools, pool.pools.driver
         self.transport: asyncio.Transport | None = None
         self.answer = AnswerReader()
+        self.writer = RequestWriter(self)
         self.exchange: Exchange | None = exchange
         exchange.connection = self
-        self.held_last_byte = b""  # last byte of the request while it is held back
         self.reused = False  # whether the connection has carried an exchange before
-        self.handed_to_transport = False
-        self.written = False
         self.closed = False
         self.opened_at = self.idle_since = 0  # us
-        self.deadline: Timer | None = None  # timer of the current state
-        self.built_at = 0  # us; when the current request was encoded
-        self._send_timeout: Timer | None = None  # runs while the request is partly unsent
+        self._state_timer = SingleTimer(self.driver.timers)  # bounds the current state
+        self._abort_retry = SingleTimer(self.driver.timers)
         self._connecting: asyncio.Task[object] | None = None
 
     def open(self) -> None:
@@ -66,9 +60,11 @@
         driver = self.driver
         self.opened_at = driver.now()
         if not self.pools.dispatch.may_connect(self.opened_at):
-            self.deadline = driver.timers.add(self.opened_at + PERMISSION_RETRY_US, lambda now: self.open())
+            self._state_timer.start(self.opened_at + PERMISSION_RETRY_US, lambda now: self.open())
             return
-        self._schedule_abort(driver.now() + self.pools.settings.connect_timeout_us)
+        self._schedule_abort(
+            driver.now() + self.pools.settings.connect_timeout_us, BreakReason.CONNECT_TIMED_OUT
+        )
         address = self.pool.address
         opening = driver.loop.create_connection(lambda: self, address.host, address.port)
         self._connecting = driver.loop.create_task(opening)
@@ -80,12 +76,13 @@
         error = None if task.cancelled() else task.exception()
         if task.cancelled() or error is not None:
             is_local_error = isinstance(error, OSError) and error.errno in LOCAL_ERRORS
-            self._terminate(Outcome.DROPPED if is_local_error else Outcome.CONNECT_FAILED)
+            unopened_outcome = Outcome.DROPPED if is_local_error else Outcome.CONNECT_FAILED
+            self._terminate(BreakReason.CONNECT_FAILED, unopened_outcome)
 
     @guarded_callback
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the exchange that the connection was opened for."""
-        self.driver.timers.cancel(self.deadline)
+        self._state_timer.cancel()
         self.transport = cast(asyncio.Transport, transport)
         if self.closed:
             self._abort_transport()
@@ -93,7 +90,7 @@
         try:
             self.transport.set_write_buffer_limits(high=0)  # resume_writing then signals an empty buffer
         except TRANSPORT_ERRORS:  # the socket broke since the connect
-            self.abort()
+            self.abort(BreakReason.CONNECTION_FAILED)
             return
         round_trip_us = self.driver.now() - self.opened_at
         margins = self.pools.dispatch.deadline_tracker.margins
@@ -107,7 +104,7 @@
     def send_exchange(self, exchange: "Exchange") -> None:
         """Send an exchange's request, unless the exchange is blocked by now."""
         now = self.driver.now()
-        self.driver.timers.cancel(self.deadline)
+        self._state_timer.cancel()
         outcome = exchange.outcome_if_blocked(now)
         if outcome is not None:
             self._return_to_pool()
@@ -116,63 +113,11 @@
         request_bytes = exchange.encode_request(now)
         self.exchange, exchange.connection = exchange, self
         self.answer.expect(exchange)
-        self.handed_to_transport = self.written = False
-        self.built_at = now
-        if not exchange.is_unsafe and len(request_bytes) <= MAX_SINGLE_WRITE_BYTES:
-            self._write(request_bytes)
-            return
-        # Hold back the last byte: if the request itself breaks the connection, it provably never ran. A
-        # request that leaves slowly is checked again before its last byte.
-        self.held_last_byte = request_bytes[-1:]
-        self._write(request_bytes[:-1])
-        if not self.closed:
-            delay_us = LAST_BYTE_DELAY_US if exchange.is_unsafe else 0
-            self.deadline = self.driver.timers.add(now + delay_us, self._send_last_byte)
-
-    def _write(self, request_bytes: bytes) -> None:
-        """Write bytes to the transport, and abort if they do not leave within SEND_TIMEOUT_US."""
-        assert self.transport is not None
-        try:
-            self.transport.write(request_bytes)
-            has_unsent_bytes = self.transport.get_write_buffer_size() > 0
-        except TRANSPORT_ERRORS:  # the socket broke, and none of these bytes has left
-            self.abort()
-            return
-        if self.held_last_byte or self.transport.is_closing():  # if closing, connection_lost follows
-            return
-        self.handed_to_transport = True
-        if has_unsent_bytes:
-            due = self.built_at + SEND_TIMEOUT_US
-            self._send_timeout = self.driver.timers.add(due, lambda now: self.abort())
-        else:
-            self._on_flushed()
-
-    def _on_flushed(self) -> None:
-        self.driver.timers.cancel(self._send_timeout)
-        self.written = True
-        if self.exchange is not None:
-            self.exchange.on_written(self.driver.now())
-
-    def _send_last_byte(self, now: int) -> None:
-        """Send the last byte after all other bytes have left, unless the exchange is blocked by now."""
-        exchange, transport = self.exchange, self.transport
-        assert exchange is not None and transport is not None
-        outcome = (
-            Outcome.DROPPED if now - self.built_at > SEND_TIMEOUT_US else exchange.outcome_if_blocked(now)
-        )
-        if outcome is not None:
-            self.discard()
-            exchange.finish(now, ExchangeEnd(outcome))
-        elif transport.get_write_buffer_size():
-            self.deadline = self.driver.timers.add(now + LAST_BYTE_DELAY_US, self._send_last_byte)
-        else:
-            last_byte, self.held_last_byte = self.held_last_byte, b""
-            self._write(last_byte)
+        self.writer.send(request_bytes, exchange, now)
 
     def resume_writing(self) -> None:
         """Handle the transport's write buffer becoming empty."""
-        if self.handed_to_transport and not self.written:
-            self._on_flushed()
+        self.writer.on_buffer_empty()
 
     # Reading the answer.
 
@@ -181,7 +126,7 @@
         """Parse a part of the answer; the exchange finishes after the connection is reusable or closed."""
         exchange = self.exchange
         if exchange is None:  # unsolicited data
-            self.abort()
+            self.discard()
             return
         is_valid = self.answer.feed(data)
         now = self.driver.now()
@@ -190,14 +135,14 @@
         elif self.answer.complete:  # released first: the balancer may reuse the connection at once
             self._release_after_answer()
         elif exchange.pending_end is not None and not exchange.finished:  # only the message's end is missing
-            self.driver.timers.cancel(self.deadline)
-            self._schedule_abort(now + ANSWER_END_TIMEOUT_US)
+            self.writer.withhold_last_byte()
+            self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
         if exchange.pending_end is not None or not is_valid:
-            exchange.finish(now, exchange.pending_end or ExchangeEnd(Outcome.RESET))
+            exchange.finish(now, exchange.pending_end or MALFORMED_ANSWER)
 
     def _release_after_answer(self) -> None:
         assert self.transport is not None
-        if self.answer.keep_alive and self.written and not self.transport.is_closing():
+        if self.answer.keep_alive and self.writer.written and not self.transport.is_closing():
             self._return_to_pool()
         else:
             self.discard()
@@ -207,17 +152,19 @@
     @guarded_callback
     def eof_received(self) -> None:
         """Remove the connection from the pool, and abort a request that is not fully sent."""
-        if self.exchange is not None and not self.written:
-            self.abort()  # otherwise the event loop would send the rest of its buffer first
+        if self.exchange is not None and not self.writer.written:
+            # Otherwise the event loop would send the rest of its buffer first.
+            self.abort(BreakReason.CLOSED_BY_EXECUTOR)
         self.pool.remove_connection(self)
 
     @guarded_callback
     def connection_lost(self, error: Exception | None) -> None:
         """Report the end of the transport to the exchange."""
-        self._terminate()
+        self._terminate(BreakReason.CONNECTION_FAILED if error else BreakReason.CLOSED_BY_EXECUTOR)
+        self._abort_retry.cancel()
         self.answer.close()
 
-    def _terminate(self, unopened_outcome: Outcome = Outcome.CONNECT_FAILED) -> None:
+    def _terminate(self, reason: BreakReason, unopened_outcome: Outcome = Outcome.CONNECT_FAILED) -> None:
         """Close the connection and finish its exchange; `unopened_outcome` applies if it never opened."""
         exchange = self.exchange
         self.discard()
@@ -229,8 +176,8 @@
         if self.transport is None:
             outcome = unopened_outcome
         else:
-            outcome = Outcome.RESET if self.handed_to_transport else Outcome.DROPPED
-        exchange.finish(now, ExchangeEnd(outcome))
+            outcome = Outcome.RESET if self.writer.handed_to_transport else Outcome.DROPPED
+        exchange.finish(now, ExchangeEnd(outcome, reason=reason))
 
     def discard(self) -> None:
         """Close the connection without finishing its exchange."""
@@ -244,20 +191,20 @@
             self._abort_transport()
 
     def _cancel_timers(self) -> None:
-        self.driver.timers.cancel(self.deadline)
-        self.driver.timers.cancel(self._send_timeout)
+        self._state_timer.cancel()
+        self.writer.cancel_timers()
 
     def _abort_transport(self, now: int = 0) -> None:
         assert self.transport is not None
         try:
             self.transport.abort()
         except TRANSPORT_ERRORS:  # retry, otherwise the descriptor would leak
-            self.driver.timers.add(self.driver.now() + ABORT_RETRY_US, self._abort_transport)
+            self._abort_retry.start(self.driver.now() + ABORT_RETRY_US, self._abort_transport)
 
-    def abort(self) -> None:
-        """Close the connection and finish its exchange."""
+    def abort(self, reason: BreakReason = BreakReason.INTERNAL_ERROR) -> None:
+        """Close the connection and finish its exchange; the default is for a callback that failed."""
         if not self.closed:
-            self._terminate()
+            self._terminate(reason)
 
     def half_close(self) -> None:
         """Drop the exchange and shut down the sending side, which makes the executor stop and close."""
@@ -269,11 +216,11 @@
         except TRANSPORT_ERRORS:
             self.discard()
             return
-        self._schedule_abort(self.driver.now() + ANSWER_END_TIMEOUT_US)
+        self._schedule_abort(self.driver.now() + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
 
-    def _schedule_abort(self, due: int) -> None:
+    def _schedule_abort(self, due: int, reason: BreakReason) -> None:
         """Abort at `due` (us), unless the state changes before."""
-        self.deadline = self.driver.timers.add(due, lambda now: self.abort())
+        self._state_timer.start(due, lambda now: self.abort(reason))
 
     # Idle.
 
@@ -283,7 +230,8 @@
         self.reused = True
         self.idle_since = self.driver.now()
         self.pool.idle.append(self)
-        self._schedule_abort(self.idle_since + int(self.pools.settings.conn_idle_us * IDLE_TIMEOUT_FRACTION))
+        idle_until = self.idle_since + int(self.pools.settings.conn_idle_us * IDLE_TIMEOUT_FRACTION)
+        self._schedule_abort(idle_until, BreakReason.IDLE_TIMED_OUT)
 
     def is_past_duplicate_answers(self, now: int) -> bool:
         """Return whether a second answer to the last request is ruled out by now."""
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -1,22 +1,23 @@
-"""Exchanges on a connection to an executor: an attempt or a probe, from its request to its end.
+"""Exchanges on a connection to an executor, from the request to its end; those of probes have a module.
 
-An exchange builds its request and interprets its answer, which is a stream of JSON lines or a load report.
+An exchange builds its request and interprets its answer, which for an attempt is a stream of JSON lines.
 The sockets are in `net/upstream/connection.py`.
 """
 
+from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
-from cedarmill.core.requests import Attempt, Probe
+from cedarmill.core.requests import Attempt
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
+from cedarmill.log import log_event
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.connection import UpstreamConnection
     from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
 
-PROBE_CONNECT_TIMEOUTS = 2  # a probe's time limit in multiples of the connect timeout
 MAX_LINE_BYTES = 256 * 1024
 FORWARDED_HEADERS = (
     b"x-call-id",
@@ -39,16 +40,37 @@
 
 
 _LINE_DECODER = msgspec.json.Decoder(AttemptLine)
-_LOAD_DECODER = msgspec.json.Decoder(dict[str, float])
 _OUTCOME_BY_FINAL_STATE = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 
 
+class BreakReason(Enum):
+    """Why a connection broke under an exchange, in the words of the log."""
+
+    CLOSED_BY_EXECUTOR = "closed by the executor"
+    CONNECTION_FAILED = "reset or failed"
+    INTERNAL_ERROR = "closed by the node: a callback failed"
+    SEND_TIMED_OUT = "closed by the node: the request did not leave in time"
+    ANSWER_END_TIMED_OUT = "closed by the node: an answer did not end in time"
+    IDLE_TIMED_OUT = "closed by the node: idle for too long"
+    ANSWER_MALFORMED = "closed by the node: the answer is malformed"
+    ANSWER_INCOMPLETE = "the answer ended without a final state"
+    CONNECT_TIMED_OUT = "not opened in time"
+    CONNECT_FAILED = "not opened"
+
+
 class ExchangeEnd(NamedTuple):
-    """The outcome of an exchange, with the executor's load report and an attempt's result if any."""
+    """The outcome of an exchange, with the executor's load report and an attempt's result if any.
+
+    `reason` is set if the connection broke before the answer was complete.
+    """
 
     outcome: Outcome
     report: api.LoadReport | None = None
     result: bytes | None = None
+    reason: BreakReason | None = None
+
+
+INCOMPLETE_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_INCOMPLETE)
 
 
 def ordered_report(names: tuple[str, ...], load: dict[str, float] | None) -> api.LoadReport | None:
@@ -217,11 +239,14 @@
         """Parse a last line without a newline; a stream without a final state counts as reset."""
         if self.pending_end is None and self.body.strip():
             self._read_line(bytes(self.body))
-        self.pending_end = self.pending_end or ExchangeEnd(Outcome.RESET)
+        self.pending_end = self.pending_end or INCOMPLETE_ANSWER
 
     def report_end(self, now: int, end: ExchangeEnd) -> None:
         """Report the attempt's end to the dispatch."""
         self.attempt.exchange = None  # breaks a reference cycle
+        if end.reason is not None:
+            address = self.pool.address
+            log_event("attempt-broken", reason=end.reason.value, executor=f"{address.host}:{address.port}")
         self.pools.dispatch.attempt_ended(now, self.attempt, end.outcome, end.report, end.result)
 
 
@@ -244,53 +269,3 @@
     def on_complete(self) -> None:
         """Take the body as the result."""
         self.pending_end = self.pending_end or ExchangeEnd(Outcome.OK, None, bytes(self.body))
-
-
-class ProbeExchange(Exchange):
-    """An exchange that asks an executor for its load report."""
-
-    def __init__(self, pools: "UpstreamPools", pool: "UpstreamPool", probe: Probe) -> None:
-        super().__init__(pools, pool)
-        self.probe, probe.exchange = probe, self
-        due = pools.driver.now() + PROBE_CONNECT_TIMEOUTS * pools.settings.connect_timeout_us
-        self.deadline = pools.driver.timers.add(due, self._on_deadline)
-
-    def _on_deadline(self, now: int) -> None:
-        if self.connection is not None and self.connection.exchange is self:
-            self.connection.discard()
-        self.finish(now, ExchangeEnd(Outcome.TIMEOUT))
-
-    def outcome_if_blocked(self, now: int) -> Outcome | None:
-        """Return MOOT for a probe that was recalled or is no longer needed."""
-        is_wanted = self.probe.exchange is not None and self.pools.dispatch.may_probe(self.probe)
-        return None if is_wanted else Outcome.MOOT
-
-    def encode_request(self, now: int) -> bytes:
-        """Return the request for a load report."""
-        return b"GET /status/load HTTP/1.1\r\nHost: %s\r\n\r\n" % str(self.pool.address.host).encode()
-
-    def on_written(self, now: int) -> None:
-        """Mark the probe as written: recalling it is no longer possible."""
-        self.probe.written = True
-
-    def on_body(self, data: bytes) -> None:
-        """Collect the report."""
-        self.body += data
-        if len(self.body) > MAX_LINE_BYTES:
-            raise ValueError("load report is too long")
-
-    def on_complete(self) -> None:
-        """Parse the report, which is JSON or text in the format of the load report header."""
-        load = None
-        if self.body.lstrip()[:1] == b"{":
-            load = _LOAD_DECODER.decode(self.body)
-        elif self.body:
-            load = parse_load_header(bytes(self.body))
-        outcome = {200: Outcome.OK, 503: Outcome.FULL}.get(self.status, Outcome.ERROR)
-        self.pending_end = ExchangeEnd(outcome, self.load_report(load))
-
-    def report_end(self, now: int, end: ExchangeEnd) -> None:
-        """Report the probe's end to the dispatch."""
-        self.pools.driver.timers.cancel(self.deadline)
-        self.probe.exchange = None  # breaks a reference cycle
-        self.pools.dispatch.probe_ended(now, self.probe, end.outcome, end.report)
--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -15,9 +15,9 @@
     AttemptExchange,
     Exchange,
     ExchangeEnd,
-    ProbeExchange,
     RelayedAttemptExchange,
 )
+from cedarmill.net.upstream.probe_exchange import ProbeExchange
 from cedarmill.values import KindOptions, Options
 
 
@@ -74,7 +74,7 @@
     def close_idle(self) -> None:
         """Close the idle connections."""
         for connection in list(self.idle):
-            connection.abort()
+            connection.discard()
 
 
 class UpstreamPools:
@@ -108,7 +108,7 @@
             most_idle_pool = max(self.pools_by_number.values(), key=lambda pool: len(pool.idle), default=None)
             if most_idle_pool is None or not most_idle_pool.idle:
                 return False
-            most_idle_pool.idle[0].abort()
+            most_idle_pool.idle[0].discard()
         return True
 
     # The dispatch's executor port.
@@ -140,6 +140,14 @@
             connection.discard()
         return True
 
+    def is_unsent(self, attempt: Attempt) -> bool:
+        """Return whether the transport lacks an attempt's last byte, so that closing it prevents a run."""
+        exchange = cast(AttemptExchange | None, attempt.exchange)
+        connection = exchange.connection if exchange is not None else None
+        if exchange is None or connection is None or connection.exchange is not exchange:
+            return False
+        return not connection.writer.handed_to_transport
+
     def probe(self, probe: Probe) -> None:
         """Ask an executor for its load report."""
         pool = self.pools_by_number.get(probe.executor)
@@ -151,9 +159,5 @@
     def withdraw_probe(self, probe: Probe) -> None:
         """Withdraw a probe that has not been written."""
         exchange, probe.exchange = cast(ProbeExchange | None, probe.exchange), None
-        if exchange is None:
-            return
-        exchange.finished = True
-        self.driver.timers.cancel(exchange.deadline)
-        if exchange.connection is not None and exchange.connection.exchange is exchange:
-            exchange.connection.discard()
+        if exchange is not None:
+            exchange.withdraw()
