--- a/tests/net/cluster/test_gossip.py
+++ b/tests/net/cluster/test_gossip.py
@@ -3,6 +3,7 @@
 import unittest
 from types import SimpleNamespace
 
+from cedarmill.core.timers import Timers
 from cedarmill.decisions import interface as api
 from cedarmill.net.cluster.gossip import IDLE_SEND_INTERVAL_US, MAX_REPORT_AGE_US, Gossip, Link
 
@@ -13,8 +14,7 @@
     """An event loop driver whose time and timers the test advances."""
 
     def __init__(self) -> None:
-        self.current_time, self.scheduled = 1_000_000, []
-        self.timers = SimpleNamespace(add=lambda due, callback: self.scheduled.append((due, callback)))
+        self.current_time, self.timers = 1_000_000, Timers()
 
     def now(self) -> int:
         return self.current_time
@@ -22,11 +22,10 @@
     def advance(self, us: int) -> None:
         """Advance the time, and run the timers that become due."""
         end_time = self.current_time + us
-        while due_calls := [entry for entry in self.scheduled if entry[0] <= end_time]:
-            next_call = min(due_calls, key=lambda entry: entry[0])
-            self.scheduled.remove(next_call)
-            self.current_time = next_call[0]
-            next_call[1](self.current_time)
+        while self.timers.next_due is not None and self.timers.next_due <= end_time:
+            self.current_time = max(self.current_time, self.timers.next_due)
+            for call in self.timers.sweep(self.current_time):
+                call(self.current_time)
         self.current_time = end_time
 
 
