Close a connection whose rejection may belong to the request before

What callers saw: 502 for guarded requests that had not run, after five attempts within milliseconds at a full executor.

Cause: a rejection on a connection that answered less than 50 ms ago may be a second answer to the request before, so it counts as RESET; but the connection went back to its pool and carried the next attempt, whose rejection was ambiguous for the same reason, up to the limit of attempts. None counted as "full", so the balancer sent on.

Mend: such a connection is closed, as the true answer may still come on it; the next attempt's rejection is then clear.

--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -133,16 +133,17 @@
         if not is_valid:
             self.discard()
         elif self.answer.complete:  # released first: the balancer may reuse the connection at once
-            self._release_after_answer()
+            self._release_after_answer(exchange)
         elif exchange.pending_end is not None and not exchange.finished:  # only the message's end is missing
             self.writer.withhold_last_byte()
             self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
         if exchange.pending_end is not None or not is_valid:
             exchange.finish(now, exchange.pending_end or MALFORMED_ANSWER)
 
-    def _release_after_answer(self) -> None:
+    def _release_after_answer(self, exchange: "Exchange") -> None:
         assert self.transport is not None
-        if self.answer.keep_alive and self.writer.written and not self.transport.is_closing():
+        is_intact = self.writer.written and not self.transport.is_closing()
+        if self.answer.keep_alive and is_intact and not exchange.spoils_connection:
             self._return_to_pool()
         else:
             self.discard()
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -53,6 +53,7 @@
     ANSWER_END_TIMED_OUT = "closed by the node: an answer did not end in time"
     IDLE_TIMED_OUT = "closed by the node: idle for too long"
     ANSWER_MALFORMED = "closed by the node: the answer is malformed"
+    REJECTION_AMBIGUOUS = "closed by the node: a rejection may belong to the request before"
     ANSWER_INCOMPLETE = "the answer ended without a final state"
     CONNECT_TIMED_OUT = "not opened in time"
     CONNECT_FAILED = "not opened"
@@ -70,6 +71,7 @@
     reason: BreakReason | None = None
 
 
+AMBIGUOUS_REJECTION = ExchangeEnd(Outcome.RESET, reason=BreakReason.REJECTION_AMBIGUOUS)
 INCOMPLETE_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_INCOMPLETE)
 
 
@@ -106,6 +108,7 @@
         self.body = bytearray()
         self.pending_end: ExchangeEnd | None = None  # read from the answer, not reported yet
         self.finished = False  # whether the end has been reported
+        self.spoils_connection = False  # whether another answer may still come on the connection
 
     def outcome_if_blocked(self, now: int) -> Outcome | None:
         """Return the outcome with which to end an exchange that may no longer be sent, or None if it may."""
@@ -221,10 +224,11 @@
         text = self.headers.get(b"x-load-report")
         report = self.load_report(parse_load_header(text)) if text else None
         if self.status in (503, 504) and self.headers.get(b"x-rejected") == b"1":
-            outcome = Outcome.RESET if self._may_be_duplicate_answer() else Outcome.FULL
+            self.spoils_connection = self._may_be_duplicate_answer()
+            outcome = Outcome.FULL
         else:
             outcome = Outcome.UNUSABLE if 400 <= self.status < 500 else Outcome.ERROR
-        self.pending_end = ExchangeEnd(outcome, report)
+        self.pending_end = AMBIGUOUS_REJECTION if self.spoils_connection else ExchangeEnd(outcome, report)
 
     def _may_be_duplicate_answer(self) -> bool:
         """Return whether this answer may be a second answer to the previous request on this connection.
