--- a/tests/net/test_late_answer_end.py
+++ b/tests/net/test_late_answer_end.py
@@ -7,10 +7,8 @@
 import unittest
 from unittest.mock import Mock
 
-from cedarmill.core.timers import Timers
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.config import Address
-from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upstream.connection import (
     ANSWER_END_TIMEOUT_US,
     DUPLICATE_ANSWER_WINDOW_US,
@@ -22,6 +20,7 @@
 from cedarmill.net.upstream.probe_exchange import ProbeExchange
 from cedarmill.values import KindOptions, Options
 from tests.support.builders import settings
+from tests.support.clocked_driver import ClockedDriver
 from tests.support.node_case import WAIT, NodeCase
 
 FINAL_LINE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"  # with all before it
@@ -138,26 +137,6 @@
         self.outcome = end.outcome
 
 
-class ClockedDriver(EventLoopDriver):
-    """A driver whose clock stands still until a test advances it."""
-
-    def __init__(self) -> None:
-        super().__init__(Mock(), Timers())
-        self.time = 0
-
-    def now(self) -> int:  # type: ignore[override]
-        return self.time
-
-    def advance(self, span: int) -> None:
-        """Advance the clock, and run the timers in order at the times when they are due."""
-        until = self.time + span
-        while self.timers.next_due is not None and self.timers.next_due <= until:
-            self.time = max(self.time, self.timers.next_due)
-            for call in self.timers.sweep(self.time):
-                call(self.time)
-        self.time = until
-
-
 class EndTimeoutOfThePreviousAnswer(unittest.TestCase):
     """The timeout for the end of an answer affects no later state of the connection."""
 
--- a/tests/net/test_single_timers.py
+++ b/tests/net/test_single_timers.py
@@ -6,40 +6,20 @@
 import unittest
 from unittest.mock import Mock
 
-from cedarmill.core.timers import Timers
 from cedarmill.net.bounded_sessions import BoundedSession
 from cedarmill.net.cluster.node_role import PEERS_REFRESH_DELAY_US, NodeRole
 from cedarmill.net.config import Address
 from cedarmill.net.listener import ACCEPT_RETRY_US, Acceptor
-from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upstream.connection import ABORT_RETRY_US, UpstreamConnection
 from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
 from cedarmill.values import ClusterOptions, KindOptions, Options
 from tests.support.builders import settings
-
-
-class FixedClockDriver(EventLoopDriver):
-    """A driver whose clock shows the time that a test sets."""
-
-    def __init__(self) -> None:
-        super().__init__(Mock(), Timers())
-        self.time = 0
-
-    def now(self) -> int:  # type: ignore[override]
-        return self.time
-
-    def advance(self, span: int) -> int:
-        """Advance the clock, run the timers that are due then, and return their number."""
-        self.time += span
-        calls = list(self.timers.sweep(self.time))
-        for call in calls:
-            call(self.time)
-        return len(calls)
+from tests.support.clocked_driver import ClockedDriver
 
 
 class SingleTimers(unittest.TestCase):
     def setUp(self) -> None:
-        self.driver = FixedClockDriver()
+        self.driver = ClockedDriver()
 
     def broken_transport(self) -> Mock:
         """Return a transport whose abort fails."""
