--- a/tests/soak/node.py
+++ b/tests/soak/node.py
@@ -39,6 +39,7 @@
         self.log_path = place.folder / f"node-{number}.log"
         self._idle_descriptors = 0
         self._waited_s = 0.0  # for a processor, since its start
+        self._terminated_at: float | None = None  # time of the first SIGTERM
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self, command: list[str]) -> None:
@@ -77,6 +78,8 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal, unless the process has ended."""
         if self.process.poll() is None:
+            if number is signal.SIGTERM and self._terminated_at is None:
+                self._terminated_at = now()
             self.history.add(SignalSent(now(), self.number, number.name))
             self.process.send_signal(number)
 
@@ -111,10 +114,10 @@
             await asyncio.sleep(READY_POLL_S)
         self.history.add(NodeQuiet(now(), self.number, max(0, self.descriptors() - limit)))
 
-    async def wait_for_end(self, timeout_s: float) -> None:
-        """Wait until the process has ended, or kill it; record its end."""
-        until = now() + timeout_s
-        while self.process.poll() is None and now() < until:
+    async def wait_for_end(self, kill_delay_s: float) -> None:
+        """Wait until the process has ended, or kill it so long after its first SIGTERM; record its end."""
+        assert self._terminated_at is not None
+        while self.process.poll() is None and now() < self._terminated_at + kill_delay_s:
             await asyncio.sleep(READY_POLL_S)
         self.send(signal.SIGKILL)
         exit_code = self.process.wait()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,7 +19,7 @@
 
 LATENESS_PROBE_S = 0.01
 END_GRACE_S = 8.0  # for the last answers, and for a node to become quiet
-QUIET_CONNECTIONS = 120  # idle connections to executors, which stay open
+QUIET_CONNECTIONS = 120  # idle connections to executors may stay open: half of the node's descriptors
 
 Command = Callable[[FaultPlan], list[str]]
 
