Repeat a guarded request only on a connection whose rejection is clear

A further attempt of a guarded request takes, as one that must not be repeated does, only a connection that can receive no second answer, or a new one. Costs a connection for some repeats.

--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -99,6 +99,7 @@
 
     is_unsafe = False  # whether the request must not run twice
     is_repeat_restricted = False  # whether the request may run twice only within limits, or not at all
+    needs_settled_connection = False  # whether no second answer to the request before may come
 
     def __init__(self, pools: "UpstreamPools", pool: "UpstreamPool") -> None:
         self.pools, self.pool = pools, pool
@@ -156,6 +157,8 @@
         self.id = attempt.request.payload.headers[b"x-call-id"].decode("latin-1")
         self.is_unsafe = attempt.request.spec.effect == api.Effect.UNSAFE
         self.is_repeat_restricted = attempt.request.spec.effect != api.Effect.SAFE
+        # The rejection of a repeat has to be clear, or each repeat may be followed by another one at once.
+        self.needs_settled_connection = self.is_unsafe or (self.is_repeat_restricted and attempt.number > 0)
         attempt.exchange, attempt.end_unobserved = self, pool.kind.cancel not in ("close", "end")
 
     def outcome_if_blocked(self, now: int) -> Outcome | None:
--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -52,14 +52,14 @@
     def _select_idle(self, exchange: Exchange, now: int) -> UpstreamConnection | None:
         """Return a suitable idle connection, or None.
 
-        Exchanges with restricted repeats prefer, and unsafe ones require, a connection that can receive no
-        second answer to its previous request.
+        Exchanges with restricted repeats prefer, and unsafe ones and repeats require, a connection that can
+        receive no second answer to its previous request.
         """
         open_idle = [connection for connection in reversed(self.idle) if not connection.is_closing()]
         if not exchange.is_repeat_restricted:
             return open_idle[0] if open_idle else None
         settled = [connection for connection in open_idle if connection.is_past_duplicate_answers(now)]
-        candidates = settled if exchange.is_unsafe else settled + open_idle
+        candidates = settled if exchange.needs_settled_connection else settled + open_idle
         # The peer's close may not have been read yet; each check is one system call.
         return next((connection for connection in candidates if not connection.is_closed_by_peer()), None)
 
--- a/tests/net/test_ambiguous_rejections.py
+++ b/tests/net/test_ambiguous_rejections.py
@@ -23,18 +23,20 @@
 
     def test_request_is_repeated_once_on_another_connection_which_tells_that_the_executor_is_full(self):
         """Guards against five repeats within milliseconds, and then 502, at an executor that is full."""
-        client = self.client().ask("pin")
+        clients = [self.client().ask("pin") for _ in range(3)]
+        served = [self.executors[0].next_request() for _ in clients]
+        for client, received in zip(clients, served, strict=True):
+            received.done()
+            self.assertEqual(client.answer()[0], 200)
+        client = clients[0].ask("pin")
         first = self.executors[0].next_request()
-        first.done()
-        self.assertEqual(client.answer()[0], 200)
-        client.ask("pin")
+        used_connections = [received.connection for received in served]
+        self.assertIn(first.connection, used_connections)
+        first.connection.send(REJECTION)
         second = self.executors[0].next_request()
-        self.assertIs(second.connection, first.connection)
-        second.connection.send(REJECTION)
-        third = self.executors[0].next_request()
-        self.assertIsNot(third.connection, first.connection)
+        self.assertNotIn(second.connection, used_connections)
         self.assertTrue(first.connection.ended.wait(1))
-        third.connection.send(REJECTION)
+        second.connection.send(REJECTION)
         self.assertFalse(client.answered(0.1))  # it waits for room
         self.assertTrue(self.executors[0].received.empty())
 
