--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -176,3 +176,10 @@
     assert [v.rule for v in violations_of(*late)] == [Rule.LIMITS_KEPT]
     assert violations_of(h.NodeHeldUp(100.9, 0.3), *late) == []
     assert [v.rule for v in violations_of(h.NodeHeldUp(99.0, 0.3), *late)] == [Rule.LIMITS_KEPT]
+
+
+def test_time_for_which_no_process_was_ready_is_allowed():
+    late = (sent(TERMINATED_AT + 0.1), received(113.0, budget_s=2.9), answered(113.1))
+    second = [h.NodeStarted(112.5, 1), h.NodeReady(112.9, 1), h.NodeEnded(116.0, 1, 0, ())]
+    assert violations_of(*late, process=[*process_records(), *second]) == []
+    assert [v.rule for v in violations_of(*late)] == [Rule.LIMITS_KEPT]
