--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,8 @@
 from tests.soak.run import run_schedule
 from tests.soak.schedule import Kind, draw_schedule
 
-SEEDS = (6, 7, 9, 10)
+SEEDS = (15, 16, 18, 19)
+FAILING_SEEDS = (7, 32)  # named in KNOWN-RED.txt
 SECONDS = 8.0
 MIN_SERVED_SHARE = 0.5  # of the answers: below this, a run says little
 
@@ -24,7 +25,7 @@
     assert len({draw_schedule(seed, SECONDS).kind for seed in SEEDS}) == len(SEEDS)
 
 
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", SEEDS + FAILING_SEEDS)
 def test_seed(seed):
     history, violations = run_schedule(draw_schedule(seed, SECONDS))
     assert violations == []
