--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
 from tests.soak.run import run_schedule
 from tests.soak.schedule import Kind, draw_schedule
 
-SEEDS = (9, 17, 24, 38)  # light loads, so that no executor hands requests back
+SEEDS = (9, 17, 24, 38)  # light loads, so that no executor refuses a request
 FAILING_SEEDS = (7, 15, 32)  # named in KNOWN-RED.txt
 SECONDS = 8.0
 MIN_SERVED_SHARE = 0.5  # of the answers: below this, a run says little
