Retry queued requests after a mean running time, also when no event tells of capacity

Callers of guarded requests whose earlier attempt may have run got 502 at the end of their time although the executor had been idle for seconds.

Cause: such a request may be neither refused nor failed, so it is queued in the balancer, and the queue was looked at only on events: an attempt that ends, a report, a list. Where the node has nothing else in flight, none comes. Nor was an executor probed again, since the probe rounds of the request were used up.

A queued request now has a retry timer of one mean running time, after which a slot has become free on average, and may probe again then.

--- a/cedarmill/decisions/admission.py
+++ b/cedarmill/decisions/admission.py
@@ -10,7 +10,7 @@
 from cedarmill.decisions import interface as api
 from cedarmill.decisions import learning, outliers, retries, selection
 from cedarmill.decisions.interface import Effect
-from cedarmill.decisions.state import Attempt, BalancerState, Executor, QueueTimeout, Request
+from cedarmill.decisions.state import Attempt, BalancerState, Executor, QueueRetryDue, QueueTimeout, Request
 
 MIN_PREEMPTION_GAIN = 0.6  # share of preemptions that must free a slot before running attempts are preempted
 CONFIRMED_PREEMPTION_GAIN = 0.75  # share above which several preemptions may be pending at a time
@@ -43,6 +43,26 @@
         request.queued = True
         state.queue.append(request)
         state.set_timer(remaining_us, QueueTimeout(request))
+        _schedule_queue_retry(state, request)
+
+
+def _schedule_queue_retry(state: BalancerState, request: Request) -> None:
+    """Schedule the next retry of a queued request, by when a slot has become free on average.
+
+    Without listed executors nothing can be retried before the next endpoint list, which retries the queue.
+    """
+    has_executors = bool(state.pools.local or state.pools.remote)
+    if has_executors and not request.has_retry_timer:
+        request.has_retry_timer = True
+        state.set_timer(int(state.learned.mean_run_us), QueueRetryDue(request))
+
+
+def on_queue_retry_due(state: BalancerState, request: Request) -> None:
+    """Retry the queue for a request that waits in it, with new probes."""
+    request.has_retry_timer = False
+    if request.queued and not request.done:
+        request.probe_rounds = 0
+        retry_queued(state)
 
 
 def retry_queued(state: BalancerState) -> None:
@@ -51,7 +71,10 @@
     for request in retried:
         is_handled = request.done or request.in_flight or bool(request.probes_pending)
         request.queued = not (is_handled or selection.select_and_send(state, request))
-    state.queue[:0] = [request for request in retried if request.queued]
+    still_queued = [request for request in retried if request.queued]
+    state.queue[:0] = still_queued
+    for request in still_queued:
+        _schedule_queue_retry(state, request)
 
 
 @dataclass(slots=True)
--- a/cedarmill/decisions/balancer.py
+++ b/cedarmill/decisions/balancer.py
@@ -27,6 +27,7 @@
     BalancerState,
     Executor,
     ProbeTimeout,
+    QueueRetryDue,
     QueueTimeout,
     Request,
     SubscribeDue,
@@ -240,6 +241,8 @@
         match self.state.timers.pop(event.token, None):
             case QueueTimeout(request):
                 admission.reject_or_queue(self.state, request)
+            case QueueRetryDue(request):
+                admission.on_queue_retry_due(self.state, request)
             case ProbeTimeout(request, probe_round):
                 if request.probes_pending and request.probe_rounds == probe_round and not request.done:
                     request.probes_pending = 0
--- a/cedarmill/decisions/state.py
+++ b/cedarmill/decisions/state.py
@@ -125,6 +125,7 @@
     attempts: "list[Attempt]" = field(default_factory=list)
     done: bool = False
     queued: bool = False
+    has_retry_timer: bool = False  # whether a QueueRetryDue is pending
     probe_rounds: int = 0  # rounds of probes since the last attempt
     probes_pending: int = 0  # probe answers that the request still waits for
 
@@ -172,6 +173,12 @@
     request: Request
 
 
+class QueueRetryDue(NamedTuple):
+    """A queued request is to be tried again, since nothing may tell that capacity has become free."""
+
+    request: Request
+
+
 class ProbeTimeout(NamedTuple):
     """The time to answer a round of probes has run out."""
 
@@ -183,7 +190,7 @@
     """The endpoint list must be requested."""
 
 
-TimerPurpose = QueueTimeout | ProbeTimeout | SubscribeDue
+TimerPurpose = QueueTimeout | QueueRetryDue | ProbeTimeout | SubscribeDue
 
 
 class ReportColumns(NamedTuple):
