--- a/cedarmill/decisions/interface.py
+++ b/cedarmill/decisions/interface.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from cedarmill.decisions.outcomes import NEVER_RAN as NEVER_RAN
+from cedarmill.decisions.outcomes import Outcome as Outcome
 from cedarmill.decisions.settings_types import DeduplicationScope as DeduplicationScope
 from cedarmill.decisions.settings_types import Effect as Effect
 from cedarmill.decisions.settings_types import RequestClass as RequestClass
@@ -14,26 +16,7 @@
 from cedarmill.decisions.settings_types import Tenant as Tenant
 
 LoadReport = tuple[float, ...]
-
-
-class Outcome(IntEnum):
-    """Result of an attempt; the members of NEVER_RAN prove that the attempt did not run."""
-
-    OK = 10
-    ERROR = 20  # the executor ran the attempt, which failed
-    FULL = 30  # the executor refused the attempt
-    TIMEOUT = 40
-    CONNECT_FAILED = 50
-    DROPPED = 55  # an established connection broke before the whole request was sent
-    RESET = 60  # the connection broke after the request was sent
-    CANCELLED = 70
-    RECALLED = 75  # cancelled before the whole request was sent
-    MOOT = 80  # abandoned before it was sent
-    UNUSABLE = 90  # the request is at fault, so every other executor would refuse it too
-
-
 UNLIMITED_ATTEMPTS = 1 << 30
-NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.DROPPED, Outcome.RECALLED, Outcome.MOOT))
 
 
 class ExecutorState(IntEnum):
--- a/tests/decisions/test_rejected_attempts.py
+++ b/tests/decisions/test_rejected_attempts.py
@@ -25,7 +25,9 @@
 
 def fire_due(driver: Driver, pending: list[tuple[int, int]], actions: list) -> list:
     """Add the timers among the actions to the pending ones, fire the next, and return its actions."""
-    timers = [(driver.now + action.delay_us, action.token) for action in actions if isinstance(action, api.SetTimer)]
+    timers = [
+        (driver.now + action.delay_us, action.token) for action in actions if isinstance(action, api.SetTimer)
+    ]
     pending[:] = sorted([*pending, *timers])
     due, token = pending.pop(0)
     driver.now = max(driver.now, due)
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -14,7 +14,8 @@
 DECISIONS = ROOT / "cedarmill/decisions"
 POLICY_MODULES = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
 TYPE_MODULES = [
-    f"cedarmill/decisions/{name}.py" for name in ("state", "learned", "interface", "settings_types")
+    f"cedarmill/decisions/{name}.py"
+    for name in ("state", "learned", "interface", "outcomes", "settings_types")
 ]
 NON_DECISION_MODULES = ("__init__", "settings", "snapshot")  # parsing and storage decide nothing
 MAX_MODULE_LINES, MAX_FUNCTION_LINES = 300, 40
