--- a/tests/decisions/test_rejected_attempts.py
+++ b/tests/decisions/test_rejected_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts that an executor rejects because it is full, and the requests that wait for capacity after that."""
+"""Attempts that a full executor rejects, and the requests that wait for capacity after that."""
 
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
@@ -25,10 +25,8 @@
 
 def fire_due(driver: Driver, pending: list[tuple[int, int]], actions: list) -> list:
     """Add the timers among the actions to the pending ones, fire the next, and return its actions."""
-    timers = [
-        (driver.now + action.delay_us, action.token) for action in actions if isinstance(action, api.SetTimer)
-    ]
-    pending[:] = sorted([*pending, *timers])
+    timers = [action for action in actions if isinstance(action, api.SetTimer)]
+    pending[:] = sorted([*pending, *((driver.now + timer.delay_us, timer.token) for timer in timers)])
     due, token = pending.pop(0)
     driver.now = max(driver.now, due)
     return driver.feed(api.TimerFired(token))
