--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -127,11 +127,10 @@
 
         An attempt that is not fully sent is cancelled by closing its connection.
         """
-        exchange = cast(AttemptExchange | None, attempt.exchange)
-        connection = exchange.connection if exchange is not None else None
-        if exchange is None or connection is None or connection.exchange is not exchange:
+        connection = _connection_of(attempt)
+        if connection is None:
             return True
-        cancel_mode = exchange.pool.kind.cancel if attempt.written else "blind"
+        cancel_mode = connection.pool.kind.cancel if attempt.written else "blind"
         if cancel_mode == "none" and not force:
             return False
         if cancel_mode == "end":
@@ -142,11 +141,8 @@
 
     def is_unsent(self, attempt: Attempt) -> bool:
         """Return whether the transport lacks an attempt's last byte, so that closing it prevents a run."""
-        exchange = cast(AttemptExchange | None, attempt.exchange)
-        connection = exchange.connection if exchange is not None else None
-        if exchange is None or connection is None or connection.exchange is not exchange:
-            return False
-        return not connection.writer.handed_to_transport
+        connection = _connection_of(attempt)
+        return connection is not None and not connection.writer.handed_to_transport
 
     def probe(self, probe: Probe) -> None:
         """Ask an executor for its load report."""
@@ -161,3 +157,12 @@
         exchange, probe.exchange = cast(ProbeExchange | None, probe.exchange), None
         if exchange is not None:
             exchange.withdraw()
+
+
+def _connection_of(attempt: Attempt) -> UpstreamConnection | None:
+    """Return the connection that carries an attempt; None if it has none or no longer carries it."""
+    exchange = cast(AttemptExchange | None, attempt.exchange)
+    connection = exchange.connection if exchange is not None else None
+    if exchange is None or connection is None or connection.exchange is not exchange:
+        return None
+    return connection
