--- a/tests/net/test_late_answer_end.py
+++ b/tests/net/test_late_answer_end.py
@@ -22,6 +22,7 @@
 from tests.support.builders import settings
 from tests.support.clocked_driver import ClockedDriver
 from tests.support.node_case import WAIT, NodeCase
+from tests.support.recording_transport import RecordingTransport
 
 FINAL_LINE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"  # with all before it
 LAST_CHUNK = "0\r\n\r\n"
@@ -90,32 +91,6 @@
         self.assertTrue(received.connection.ended.wait(LONGEST_WAIT_S))
 
 
-class RecordingTransport:
-    """A transport that accepts everything and records how the connection ends."""
-
-    def __init__(self) -> None:
-        self.writes: list[bytes] = []
-        self.aborted = self.ended_sending = False
-
-    def write(self, data: bytes) -> None:
-        self.writes.append(data)
-
-    def write_eof(self) -> None:
-        self.ended_sending = True
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-    def set_write_buffer_limits(self, high: int) -> None:
-        pass
-
-    def is_closing(self) -> bool:
-        return self.aborted
-
-    def abort(self) -> None:
-        self.aborted = True
-
-
 class LineExchange(Exchange):
     """An exchange that ends with the first line of its answer, as an attempt does."""
 
--- a/tests/net/test_upstream_faults.py
+++ b/tests/net/test_upstream_faults.py
@@ -25,6 +25,7 @@
 from tests.support.builders import settings
 from tests.support.faulty_node_case import FaultyNodeCase
 from tests.support.node_case import WAIT
+from tests.support.recording_transport import RecordingTransport
 from tests.support.system_call_faults import Fault
 
 LOAD_REPORT = {"x0": 100, "x1": 100}  # free slots and free memory
@@ -332,36 +333,6 @@
         self.check_served(client, repeated)
 
 
-class SlowTransport:
-    """A transport whose peer reads nothing: `accepted_bytes` of each write leave, the rest stays buffered.
-
-    With `fails_writes` the socket refuses the first write, and the transport closes as in asyncio.
-    """
-
-    def __init__(self, accepted_bytes: int, fails_writes: bool = False) -> None:
-        self.accepted_bytes, self.unsent_bytes, self.writes, self.aborted = accepted_bytes, 0, [], False
-        self.fails_writes = fails_writes
-
-    def write(self, data: bytes) -> None:
-        if self.fails_writes:
-            self.aborted = True
-            return
-        self.writes.append(data)
-        self.unsent_bytes += max(0, len(data) - self.accepted_bytes)
-
-    def get_write_buffer_size(self) -> int:
-        return self.unsent_bytes
-
-    def set_write_buffer_limits(self, high: int) -> None:
-        pass
-
-    def is_closing(self) -> bool:
-        return self.aborted
-
-    def abort(self) -> None:
-        self.aborted = True
-
-
 class RecordingExchange(Exchange):
     """An exchange that records its outcome; `blocking_outcome` is why it may no longer be sent, if set."""
 
@@ -391,7 +362,7 @@
         exchange.request_bytes, exchange.is_unsafe, exchange.outcome = b"x" * size, is_unsafe, None
         connection = UpstreamConnection(exchange.pool, exchange)
         exchange.pool.connections.add(connection)
-        connection.connection_made(SlowTransport(accepted_bytes, fails_writes))
+        connection.connection_made(RecordingTransport(accepted_bytes, fails_writes))
         return connection, exchange
 
     def executor_pool(self) -> UpstreamPool:
