Let a process that waits for the state file's lock have the next turn

Callers: PUT /api/exclude/ID at one process of a node got 503 after 0.5 s while the node's other process made many changes in a row.

Cause: a waiting process tries every 10 ms; the other frees the lock for microseconds between two changes.

A waiting process now holds a second lock, the turn, without which nobody takes the first.

--- a/cedarmill/net/admin/handlers.py
+++ b/cedarmill/net/admin/handlers.py
@@ -15,7 +15,7 @@
 from cedarmill.net.clients.server import ClientServer
 from cedarmill.net.discovery.client import DiscoveryClient
 from cedarmill.net.loop import EventLoopDriver, clock_reading
-from cedarmill.net.upgrade.state_file import StateFile, state_file_path
+from cedarmill.net.upgrade.state_file import LockTurn, StateFile, state_file_path
 
 STATE_FILE_POLL_US = 500_000  # The node's other process may change the file.
 LOCK_TIMEOUT_US = 500_000  # Requests must be answered within 1 s.
@@ -83,7 +83,7 @@
             self.submit_to_cluster(request, answer)
         elif request.action in (AdminAction.EXCLUDE, AdminAction.INCLUDE):
             now = self.driver.now()
-            self._change_exclusion(request, answer, now, now + LOCK_TIMEOUT_US)
+            self._change_exclusion(request, answer, now, now + LOCK_TIMEOUT_US, self.state_file.lock_turn())
         else:
             answer(self._actions[request.action](request))
 
@@ -106,10 +106,12 @@
             return AdminResponse(HTTPStatus.OK, b"ready\n")
         return AdminResponse(HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n")
 
-    def _change_exclusion(self, request: AdminRequest, answer: Answer, now: int, deadline: int) -> None:
+    def _change_exclusion(
+        self, request: AdminRequest, answer: Answer, now: int, deadline: int, turn: LockTurn
+    ) -> None:
         """Exclude or include an executor; retry the state file's lock until `deadline`."""
         try:
-            with self.state_file.exclusive_lock():  # The node's other process writes it too.
+            with self.state_file.exclusive_lock(turn):  # The node's other process writes it too.
                 response = self._change_exclusion_locked(
                     request.executor, request.action == AdminAction.EXCLUDE
                 )
@@ -119,9 +121,11 @@
                 response = AdminResponse(HTTPStatus.SERVICE_UNAVAILABLE, b"the mark could not be kept\n")
             else:
                 self.driver.timers.add(
-                    now + LOCK_RETRY_US, lambda now: self._change_exclusion(request, answer, now, deadline)
+                    now + LOCK_RETRY_US,
+                    lambda now: self._change_exclusion(request, answer, now, deadline, turn),
                 )
                 return
+        turn.release()
         answer(response)
 
     def _change_exclusion_locked(self, name: str, should_exclude: bool) -> AdminResponse:
--- a/tests/net/test_admin_api.py
+++ b/tests/net/test_admin_api.py
@@ -243,6 +243,17 @@
             {name for process_names in names.values() for name in process_names},
         )
 
+    def test_concurrent_exclusions_are_all_stored_where_each_write_takes_long(self):
+        """Guards against a process that takes the lock again at once, each time before the other tries."""
+        write = StateFile.write
+
+        def write_slowly(state_file: StateFile, data: bytes) -> None:
+            time.sleep(2 * LOCK_RETRY_US / 1e6)
+            write(state_file, data)
+
+        with mock.patch.object(StateFile, "write", write_slowly):
+            self.test_concurrent_exclusions_are_all_stored()
+
     @staticmethod
     def exclude_all(handlers: AdminHandlers, names: list[str]) -> None:
         for name in names:
