Count just the store's own files in the test of failed openings

The test is wrong: it compared the number of all descriptors of the test process, among them what earlier tests of the same worker had left to the garbage collector.

It now lists the descriptors that point into the store's folder; there are none before and none after a failed opening.

--- a/tests/store/test_replica_store.py
+++ b/tests/store/test_replica_store.py
@@ -458,16 +458,24 @@
             (4, "k2", False),
         )
 
+    def open_store_files(self) -> list[str]:
+        """Return the open files of the store; what other tests left may be closed at any time."""
+        targets = []
+        for descriptor in os.listdir("/proc/self/fd"):
+            with contextlib.suppress(FileNotFoundError):  # closed since, or the listing's own
+                targets.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+        return [target for target in targets if target.startswith(os.path.realpath(self.data_path))]
+
     def test_failed_opening_preserves_the_log_and_closes_all_files(self):
         self.format_store().close()
-        open_descriptors = len(os.listdir("/proc/self/fd"))
+        self.assertEqual(self.open_store_files(), [])
         for call in ("open", "write", "sync", "rename", "sync_directory"):
             for error_number in (*WRITE_ERRORS, errno.EMFILE):
                 with self.subTest(call=call, error_number=error_number):
                     self.directory.failing, self.directory.short_write_bytes = {call: error_number}, 3
                     with self.assertRaises(OSError):
                         replica_store.ReplicaStore(self.directory, "c", "k0")
-                    self.assertEqual(len(os.listdir("/proc/self/fd")), open_descriptors)
+                    self.assertEqual(self.open_store_files(), [])
                     self.assertNotIn("log.new", os.listdir(self.data_path))
         self.directory.failing = {}
         self.assertEqual(self.open_store(self.directory).persistent_state.snapshot.index, 1)
