Take the state file's lock and the turn to it by one kind of file lock

LockTurn and exclusive_lock opened, locked and closed a file with the same lines. Both are a FileLock now; what a turn is for stands at lock_turn.

--- a/cedarmill/net/admin/handlers.py
+++ b/cedarmill/net/admin/handlers.py
@@ -15,7 +15,7 @@
 from cedarmill.net.clients.server import ClientServer
 from cedarmill.net.discovery.client import DiscoveryClient
 from cedarmill.net.loop import EventLoopDriver, clock_reading
-from cedarmill.net.upgrade.state_file import LockTurn, StateFile, state_file_path
+from cedarmill.net.upgrade.state_file import FileLock, StateFile, state_file_path
 
 STATE_FILE_POLL_US = 500_000  # The node's other process may change the file.
 LOCK_TIMEOUT_US = 500_000  # Requests must be answered within 1 s.
@@ -107,7 +107,7 @@
         return AdminResponse(HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n")
 
     def _change_exclusion(
-        self, request: AdminRequest, answer: Answer, now: int, deadline: int, turn: LockTurn
+        self, request: AdminRequest, answer: Answer, now: int, deadline: int, turn: FileLock
     ) -> None:
         """Exclude or include an executor; retry the state file's lock until `deadline`."""
         try:
--- a/cedarmill/net/upgrade/state_file.py
+++ b/cedarmill/net/upgrade/state_file.py
@@ -51,18 +51,15 @@
     return data
 
 
-class LockTurn:
-    """The turn to take a lock next, which a process holds while it waits, so that no other overtakes it.
-
-    A lock that is free for microseconds only is seldom free when a waiting process tries again.
-    """
+class FileLock:
+    """An exclusive lock on a file of its own; the system releases that of a killed process."""
 
     def __init__(self, path: str) -> None:
         self.path = path
         self._descriptor = -1
 
     def take(self) -> None:
-        """Take the turn unless it is held; raise BlockingIOError if another holds it, OSError on failure."""
+        """Take the lock unless it is held; raise BlockingIOError if another holds it, OSError on failure."""
         if self._descriptor >= 0:
             return
         descriptor = _open_regular_file(self.path, os.O_RDWR | os.O_CREAT)
@@ -74,7 +71,7 @@
         self._descriptor = descriptor
 
     def release(self) -> None:
-        """Release the turn, if it is held."""
+        """Release the lock, if it is held."""
         descriptor, self._descriptor = self._descriptor, -1
         if descriptor >= 0:
             os.close(descriptor)
@@ -107,31 +104,32 @@
         self._last_identity = _file_identity(status)
         return data
 
-    def lock_turn(self) -> "LockTurn":
-        """Return a turn for `exclusive_lock`, for a caller that tries again; it has to release it."""
-        return LockTurn(f"{self.path}.lock-turn")
+    def lock_turn(self) -> FileLock:
+        """Return a turn for `exclusive_lock`, for a caller that tries again; it has to release it.
+
+        A process that waits holds the turn to take the lock next, so that no other overtakes it: a lock that
+        is free for microseconds only is seldom free when a waiting process tries again.
+        """
+        return FileLock(f"{self.path}.lock-turn")
 
     @contextlib.contextmanager
-    def exclusive_lock(self, turn: "LockTurn | None" = None) -> Iterator[None]:
+    def exclusive_lock(self, turn: FileLock | None = None) -> Iterator[None]:
         """Hold an exclusive lock, so that no other process changes the document between a read and a write.
 
         Raises BlockingIOError at once if another process holds the lock: it does so for one small write, or
-        longer if it is stopped. It then has to give way if the caller tries again with the same `turn`. The
-        system releases the lock of a killed process. Raises OSError if locking fails.
+        longer if it is stopped. It then has to give way if the caller tries again with the same `turn`.
+        Raises OSError if locking fails.
         """
-        own_turn = turn or self.lock_turn()
-        descriptor = -1
+        lock, own_turn = FileLock(f"{self.path}.lock"), turn or self.lock_turn()
         try:
             own_turn.take()
-            descriptor = _open_regular_file(f"{self.path}.lock", os.O_RDWR | os.O_CREAT)
-            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            lock.take()
             own_turn.release()
             yield
         finally:
+            lock.release()
             if turn is None:
                 own_turn.release()
-            if descriptor >= 0:
-                os.close(descriptor)
 
     def write(self, data: bytes) -> None:
         """Replace the document atomically; raise OSError and keep the old document on failure."""
