--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -7,36 +7,25 @@
 
 from tests.soak.executors import Executor, cut
 from tests.soak.history import DiscoveryReachable, History, ListingWritten, StatusChanged, now
+from tests.soak.listening import ListeningStandIn
 
 HEARTBEAT_S = 1.0  # the protocol's limit is 2 s
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-class Discovery:
+class Discovery(ListeningStandIn):
     """The list of executors, and the watches on it."""
 
     def __init__(self, executors: list[Executor], history: History, source: random.Random) -> None:
+        super().__init__()
         self.executors, self.history, self.source = executors, history, source
         self.index = 1
         self.statuses = ["SERVING"] * len(executors)
         self.changed_at = [0.0] * len(executors)  # time of the last change
         self.changed_in = [0] * len(executors)  # index of the last change
-        self.port = 0
         self._is_down = False
         self._silent: set[asyncio.StreamWriter] = set()
         self._watches: dict[asyncio.StreamWriter, int] = {}  # the index that each watch has been sent
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def close(self) -> None:
-        """Stop listening and end all watches."""
-        assert self._server is not None
-        self._server.close()
-        self.reset_watches()
 
     def set_status(self, number: int, status: str) -> None:
         """Change an executor's status, and write it to the watches."""
@@ -62,6 +51,9 @@
             writer.transport.abort()
         self._watches.clear()
 
+    def _abort_connections(self) -> None:
+        self.reset_watches()
+
     def silence_watches(self) -> None:
         """Let all open watches fall silent; new ones work."""
         self._silent |= self._watches.keys()
--- a/tests/soak/executors.py
+++ b/tests/soak/executors.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from tests.soak.history import ExecutorBroke, ExecutorEnded, ExecutorLost, ExecutorReceived, History, now
+from tests.soak.listening import ListeningStandIn
 from tests.soak.schedule import ExecutorPlan
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0 s
@@ -48,28 +49,19 @@
         self.writer.transport.abort()
 
 
-class Executor:
+class Executor(ListeningStandIn):
     """One executor; `restart` gives it a new process with no connections."""
 
     def __init__(self, plan: ExecutorPlan, number: int, history: History, source: random.Random) -> None:
+        super().__init__()
         self.plan, self.number, self.history, self.source = plan, number, history, source
         self.busy = 0
         self.is_hanging = False
         self.started_at_ms = 0  # Unix time of the last start; 0 means long ago
         self.connections: set[Connection] = set()
-        self.port = 0
         self._connection_count = 0
-        self._server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def close(self) -> None:
-        """Stop listening and end all connections."""
-        assert self._server is not None
-        self._server.close()
+    def _abort_connections(self) -> None:
         for connection in list(self.connections):
             connection.writer.transport.abort()
 
