--- a/cedarmill/decisions/rejections.py
+++ b/cedarmill/decisions/rejections.py
@@ -1,7 +1,7 @@
 """Back-off after rejections: when an executor that has rejected a request may get the same request again.
 
-A rejection proves that the attempt did not run, but it is one of the few attempts that a request has. Reports
-may be late, so one that arrives soon after a rejection may describe the time before it.
+Each rejection costs one of the few attempts that a request has. Reports may be late, so one that arrives soon
+after a rejection may describe the time before it.
 """
 
 from cedarmill.decisions import learning, retries
--- a/cedarmill/net/loop.py
+++ b/cedarmill/net/loop.py
@@ -15,9 +15,8 @@
 MAX_EXPECTED_DELAY_US = 150_000
 # After a longer delay, input may be waiting that decides whether a time-out is still due.
 MAX_TIMER_DELAY_US = 20_000
-CATCH_UP_TURNS = (
-    3  # of the event loop: one to read, the others for what it schedules, such as a new connection
-)
+# Turns of the event loop: one to read, the others for what it schedules, such as a new connection.
+CATCH_UP_TURNS = 3
 CATCH_UP_TURN_S = 0.001
 CATCH_UP_PAUSE_US = 1_000_000  # a loop that is always late delays its timers only this often
 BOOT_ID_PATH = "/proc/sys/kernel/random/boot_id"  # It changes with each boot, see random(4).
