review: end the node's processes when a script itself is ended

A restart of a stand-in executor no longer stops a script when a connection is closed already, a script that gets SIGTERM ends its processes, and a node no longer inherits the test's own variables. Seen: run.sh of case 3, ended after 5 s by SIGTERM, leaves no process.

--- a/review/standins.py
+++ b/review/standins.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import shutil
@@ -27,6 +28,7 @@
 READY_TIMEOUT_S = 30.0
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+OWN_VARIABLES = ("LB_", "PYTHON", "TROUBLE")  # of the test's environment; a node gets none of them
 EXEC_WITH_DESCRIPTOR_3 = "import os, sys; os.dup2(int(sys.argv[1]), 3); os.execv(sys.argv[2], sys.argv[2:])"
 
 
@@ -152,7 +154,7 @@
         """Start a process of the node; `held`: the clients' listening socket, inherited as descriptor 3."""
         config = json.loads(config_path.read_text())
         environment = {
-            **{key: value for key, value in os.environ.items() if not key.startswith("LB_")},
+            **{key: value for key, value in os.environ.items() if not key.startswith(OWN_VARIABLES)},
             "LB_CONFIG": str(config_path),
             "LB_NAME": config["name"],
             "LB_LISTEN": config["listen"],
@@ -384,8 +386,9 @@
     def restart(self) -> None:
         """End the process and start it anew: its connections are reset, and it is cold."""
         for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            with contextlib.suppress(OSError):  # closed already
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
         self.since_ms = int(time.time() * 1000)
         self.record.add(self.name, f"is restarted with {self.busy} jobs in it")
@@ -565,6 +568,7 @@
 
 def main(folder: Path, play: Callable[[Stage], Awaitable[bool]], limit_s: float = 110.0) -> int:
     """Play a case, which returns whether its rule held; return the exit code."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))  # ends the node's processes on the way
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("test", f"TROUBLE={int(trouble)}")
