Count all that a client connection may make the node keep

Cause: the bound on sessions assumes 96 KiB each, and what clients send was counted in four places that each left something out: the trailer (the parser keeps an unfinished field and reports it only once it is whole), the memory of a field against its letters, the target of a head that comes whole, pipelined heads, and the request in service.

Change: the parser gets parts of 1 KiB, and all it was fed since its last callback counts with the target and the fields (head and trailer) up to 16 KiB; only the fields that the node uses are kept; all requests of a session together may take 80 KiB, and a rejected one keeps nothing. So a session stays within what its bound assumes. A field in several reads is no longer counted twice: heads of 8 to 16 KiB in pieces were refused.

--- a/cedarmill/net/clients/limits.py
+++ b/cedarmill/net/clients/limits.py
@@ -3,7 +3,8 @@
 from cedarmill.core.client_session_events import SessionTimes
 
 MAX_BODY_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 16 * 1024
+MAX_HEAD_BYTES = 16 * 1024  # target, header fields and trailer fields of one request
+MAX_SESSION_BYTES = MAX_BODY_BYTES + MAX_HEAD_BYTES  # all requests that a session holds at a time
 MAX_PIPELINED_REQUESTS = 8
 # Reading is paused after this much input has been discarded behind the last response.
 MAX_DISCARDED_BYTES = 1024 * 1024
--- a/cedarmill/net/clients/request.py
+++ b/cedarmill/net/clients/request.py
@@ -19,6 +19,7 @@
         "earliest_sent_at",
         "fault",
         "first_byte_at",
+        "head_bytes",
         "headers",
         "is_reading_head",
         "keep_alive",
@@ -35,10 +36,20 @@
         self.earliest_sent_at = now if unread_since is None else unread_since
         self.method = self.target = b""
         self.headers: dict[bytes, bytes] = {}
+        self.head_bytes = 0  # received of the target, the header fields and the trailer fields
         self.body = bytearray()
         self.is_reading_head = self.keep_alive = True
         self.fault: ClientRequestError | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Return an upper bound of the bytes that are kept of the request."""
+        return self.head_bytes + len(self.body)
+
+    def discard_content(self) -> None:
+        """Free the headers and the body of a request that is not forwarded."""
+        self.headers, self.body, self.head_bytes = {}, bytearray(), 0
+
     def integer_header(self, name: bytes) -> int | None:
         """Return the value of an integer header or None; raises ClientRequestError for any other value."""
         text = self.headers.get(name)
--- a/cedarmill/net/clients/request_reader.py
+++ b/cedarmill/net/clients/request_reader.py
@@ -10,12 +10,18 @@
 from cedarmill.net.clients.request import ClientRequest, ClientRequestError
 from cedarmill.net.loop import EventLoopDriver
 
+# The parser keeps an incomplete field unseen, so it gets input in parts of at most this size.
+PARSER_INPUT_BYTES = 1024
+FIELD_SYNTAX_BYTES = 3  # the colon and the line end of a header field
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"expect"))
+
 
 class RequestSink(Protocol):
     """Receives the events of a `RequestReader`; implemented by the client session."""
 
     driver: EventLoopDriver
     unread_since: int | None  # Earliest time at which the input may have been waiting (us).
+    current_message: ClientRequest | None  # The request in service, which is not in `requests`.
 
     def on_request_begun(self) -> None:
         """Called when the first byte of a request has been parsed."""
@@ -34,20 +40,20 @@
     """
 
     __slots__ = (
-        "_head_bytes",
         "_parser",
         "_sink",
-        "_unrepeatable_headers",
+        "_unreported_bytes",
+        "_used_headers",
         "incomplete",
         "is_stopped",
         "requests",
     )
 
-    def __init__(self, sink: RequestSink, unrepeatable_headers: frozenset[bytes]) -> None:
-        """`unrepeatable_headers`: lower-case names of the headers that may occur only once per request."""
-        self._sink, self._unrepeatable_headers = sink, unrepeatable_headers
+    def __init__(self, sink: RequestSink, used_headers: frozenset[bytes]) -> None:
+        """`used_headers`: lower-case names of the headers to keep, which may occur once per request."""
+        self._sink, self._used_headers = sink, used_headers
         self._parser = httptools.HttpRequestParser(self)
-        self._head_bytes = 0
+        self._unreported_bytes = 0  # Input since the last callback of the parser, which may keep it.
         self.incomplete: ClientRequest | None = None
         self.requests: deque[ClientRequest] = deque()
         self.is_stopped = False  # If True, further input is not parsed.
@@ -59,12 +65,22 @@
 
     def feed(self, data: bytes) -> None:
         """Parse input; a parse error queues a request that carries the error."""
+        if len(data) <= PARSER_INPUT_BYTES:
+            self._feed_part(data)
+            return
+        view = memoryview(data)
+        for start in range(0, len(data), PARSER_INPUT_BYTES):
+            self._feed_part(view[start : start + PARSER_INPUT_BYTES])
+            if self.is_stopped:
+                return
+
+    def _feed_part(self, data: bytes | memoryview) -> None:
+        """Parse at most PARSER_INPUT_BYTES of input."""
+        self._unreported_bytes += len(data)
         try:
             self._parser.feed_data(data)
-            if self.incomplete is not None and not self.incomplete.method:
-                self._head_bytes += len(data)  # The parser reports only complete headers.
-                if self._head_bytes > limits.MAX_HEAD_BYTES:
-                    raise ClientRequestError(431, "the head is too large")
+            if self.incomplete is not None:
+                self._check_head_size(self.incomplete.head_bytes + self._unreported_bytes)
         except httptools.HttpParserUpgrade:  # The message is complete; data after it is not parsed.
             self.is_stopped = True
             self.requests[-1].keep_alive = False
@@ -75,13 +91,35 @@
         except ClientRequestError as fault:
             self.reject(fault)
 
+    @staticmethod
+    def _check_head_size(size: int) -> None:
+        if size > limits.MAX_HEAD_BYTES:
+            raise ClientRequestError(431, "the head is too large")
+
+    def _count_head_bytes(self, message: ClientRequest, size: int) -> None:
+        """Count a part of the head or trailer that the parser has reported; raises ClientRequestError."""
+        self._unreported_bytes = 0
+        message.head_bytes += size
+        self._check_head_size(message.head_bytes)
+
+    def _check_session_size(self, message: ClientRequest) -> None:
+        """Raise ClientRequestError if the session holds too many bytes with this request."""
+        current = self._sink.current_message
+        if current is None and not self.requests:
+            return  # The limits of a single request hold.
+        size = message.held_bytes + sum(ahead.held_bytes for ahead in self.requests)
+        if current is not None:
+            size += current.held_bytes
+        if size > limits.MAX_SESSION_BYTES:
+            raise ClientRequestError(400, "too many requests at once")
+
     def reject(self, fault: BaseException | None) -> None:
         """Queue the incomplete request with an error as its answer, and stop parsing."""
         if not isinstance(fault, ClientRequestError):
             log_event("defect", fault, what="callback on a message")
             fault = ClientRequestError(500, "internal error")
         message, self.incomplete = self.incomplete or ClientRequest(self._sink.driver.now()), None
-        message.body = bytearray()  # Frees memory, since the client may stay connected for some time.
+        message.discard_content()  # The client may stay connected for some time.
         fault.__traceback__ = None
         message.fault, message.keep_alive, self.is_stopped = fault, False, True
         self.requests.append(message)
@@ -97,31 +135,31 @@
 
     def on_message_begin(self) -> None:
         """Start a new request; raises ClientRequestError if too many are queued."""
-        if (
-            len(self.requests) >= limits.MAX_PIPELINED_REQUESTS
-            or sum(len(ahead.body) for ahead in self.requests) > limits.MAX_BODY_BYTES
-        ):
+        self._unreported_bytes = 0
+        if len(self.requests) >= limits.MAX_PIPELINED_REQUESTS:
             raise ClientRequestError(400, "too many requests at once")
-        self.incomplete, self._head_bytes = ClientRequest(self._sink.driver.now(), self._sink.unread_since), 0
+        self.incomplete = ClientRequest(self._sink.driver.now(), self._sink.unread_since)
         self._sink.on_request_begun()
 
     def on_url(self, url: bytes) -> None:
-        """Append a fragment of the request target."""
+        """Append a fragment of the request target; raises ClientRequestError for an oversized head."""
         message = self.incomplete
         assert message is not None
+        self._count_head_bytes(message, len(url))
         message.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; raises ClientRequestError for a repeated header or an oversized head."""
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > limits.MAX_HEAD_BYTES:
-            raise ClientRequestError(431, "the head is too large")
+        """Store a header that is used; raises ClientRequestError for a repeated one or an oversized head."""
         name, message = name.lower(), self.incomplete
         assert message is not None
+        self._count_head_bytes(message, len(name) + len(value) + FIELD_SYNTAX_BYTES)
         if not message.is_reading_head:
             return  # Trailers are ignored.
-        if name in self._unrepeatable_headers and name in message.headers:
-            raise ClientRequestError(400, f"{name.decode()} comes twice")
+        if name in self._used_headers:
+            if name in message.headers:
+                raise ClientRequestError(400, f"{name.decode()} comes twice")
+        elif name not in FRAMING_HEADERS:
+            return
         message.headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
@@ -135,16 +173,19 @@
         body = length != b"0" or b"transfer-encoding" in message.headers
         if body and self._parser.should_upgrade():  # The parser would stop before the body.
             raise ClientRequestError(400, "an offer to upgrade takes no body")
+        self._check_session_size(message)
         if message.headers.get(b"expect", b"").lower() == b"100-continue":
             self._sink.on_continue_expected()
 
     def on_body(self, data: bytes) -> None:
-        """Append a fragment of the body; raises ClientRequestError if the body is too large."""
+        """Append a fragment of the body; raises ClientRequestError if body or session are too large."""
         message = self.incomplete
         assert message is not None
+        self._unreported_bytes = 0
         message.body += data
         if len(message.body) > limits.MAX_BODY_BYTES:
             raise ClientRequestError(413, "the body is over 64 KiB")
+        self._check_session_size(message)
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
--- a/cedarmill/net/clients/server.py
+++ b/cedarmill/net/clients/server.py
@@ -21,7 +21,7 @@
 # The number of connections per loop iteration is limited so that open requests are not delayed.
 ACCEPT_BATCH = 32
 LISTEN_BACKLOG = 1024
-UNREPEATABLE_HEADERS = frozenset(
+USED_HEADERS = frozenset(
     (
         b"x-call-id",
         b"x-call-class",
@@ -47,7 +47,7 @@
         self, driver: EventLoopDriver, settings: api.Settings, max_sessions: int, options: DeadlineOptions
     ) -> None:
         self.driver, self.max_sessions, self.options = driver, max_sessions, options
-        self.unrepeatable_headers = UNREPEATABLE_HEADERS.union(name.encode() for name in options.sources)
+        self.used_headers = USED_HEADERS.union(name.encode() for name in options.sources)
         self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.deadlines = [spec.deadline_us for spec in settings.classes]
         self.tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -37,7 +37,7 @@
         """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us)."""
         super().__init__(server.driver, server.options.half_close == "leaves", unread_since)
         self.server = server
-        self.reader = RequestReader(self, server.unrepeatable_headers)
+        self.reader = RequestReader(self, server.used_headers)
         self.current_message: ClientRequest | None = None
         self.request: Request | None = None  # The dispatched request for `current_message`.
         self.call_id = b""  # The X-Call-Id of the open request.
