Move the limit on header sections to a module of its own

The counting of what an HTTP parser keeps is needed for executors' answers as well; the reader of clients' requests keeps its behaviour but for one case: blank lines of over 16 KiB between two requests get 431, where they were read without end.

--- a/cedarmill/net/clients/request.py
+++ b/cedarmill/net/clients/request.py
@@ -36,7 +36,7 @@
         self.earliest_sent_at = now if unread_since is None else unread_since
         self.method = self.target = b""
         self.headers: dict[bytes, bytes] = {}
-        self.head_bytes = 0  # received of the target, the header fields and the trailer fields
+        self.head_bytes = 0  # of the target and the header fields, once the head is complete
         self.body = bytearray()
         self.is_reading_head = self.keep_alive = True
         self.fault: ClientRequestError | None = None
--- a/cedarmill/net/clients/request_reader.py
+++ b/cedarmill/net/clients/request_reader.py
@@ -8,11 +8,9 @@
 from cedarmill.log import log_event
 from cedarmill.net.clients import limits
 from cedarmill.net.clients.request import ClientRequest, ClientRequestError
+from cedarmill.net.header_sections import HeaderSectionMeter, HeaderSectionTooLarge
 from cedarmill.net.loop import EventLoopDriver
 
-# The parser keeps an incomplete field unseen, so it gets input in parts of at most this size.
-PARSER_INPUT_BYTES = 1024
-FIELD_SYNTAX_BYTES = 3  # the colon and the line end of a header field
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"expect"))
 
 
@@ -40,9 +38,9 @@
     """
 
     __slots__ = (
+        "_header_sections",
         "_parser",
         "_sink",
-        "_unreported_bytes",
         "_used_headers",
         "incomplete",
         "is_stopped",
@@ -53,7 +51,7 @@
         """`used_headers`: lower-case names of the headers to keep, which may occur once per request."""
         self._sink, self._used_headers = sink, used_headers
         self._parser = httptools.HttpRequestParser(self)
-        self._unreported_bytes = 0  # Input since the last callback of the parser, which may keep it.
+        self._header_sections = HeaderSectionMeter(limits.MAX_HEAD_BYTES)
         self.incomplete: ClientRequest | None = None
         self.requests: deque[ClientRequest] = deque()
         self.is_stopped = False  # If True, further input is not parsed.
@@ -65,22 +63,8 @@
 
     def feed(self, data: bytes) -> None:
         """Parse input; a parse error queues a request that carries the error."""
-        if len(data) <= PARSER_INPUT_BYTES:
-            self._feed_part(data)
-            return
-        view = memoryview(data)
-        for start in range(0, len(data), PARSER_INPUT_BYTES):
-            self._feed_part(view[start : start + PARSER_INPUT_BYTES])
-            if self.is_stopped:
-                return
-
-    def _feed_part(self, data: bytes | memoryview) -> None:
-        """Parse at most PARSER_INPUT_BYTES of input."""
-        self._unreported_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-            if self.incomplete is not None:
-                self._check_head_size(self.incomplete.head_bytes + self._unreported_bytes)
+            self._header_sections.feed(self._parser, data)
         except httptools.HttpParserUpgrade:  # The message is complete; data after it is not parsed.
             self.is_stopped = True
             self.requests[-1].keep_alive = False
@@ -88,19 +72,8 @@
             self.reject(error.__context__)
         except httptools.HttpParserError:
             self.reject(ClientRequestError(400, "malformed HTTP"))
-        except ClientRequestError as fault:
-            self.reject(fault)
-
-    @staticmethod
-    def _check_head_size(size: int) -> None:
-        if size > limits.MAX_HEAD_BYTES:
-            raise ClientRequestError(431, "the head is too large")
-
-    def _count_head_bytes(self, message: ClientRequest, size: int) -> None:
-        """Count a part of the head or trailer that the parser has reported; raises ClientRequestError."""
-        self._unreported_bytes = 0
-        message.head_bytes += size
-        self._check_head_size(message.head_bytes)
+        except HeaderSectionTooLarge as error:
+            self.reject(error)
 
     def _check_session_size(self, message: ClientRequest) -> None:
         """Raise ClientRequestError if the session holds too many bytes with this request."""
@@ -115,6 +88,8 @@
 
     def reject(self, fault: BaseException | None) -> None:
         """Queue the incomplete request with an error as its answer, and stop parsing."""
+        if isinstance(fault, HeaderSectionTooLarge):
+            fault = ClientRequestError(431, str(fault))
         if not isinstance(fault, ClientRequestError):
             log_event("defect", fault, what="callback on a message")
             fault = ClientRequestError(500, "internal error")
@@ -135,24 +110,24 @@
 
     def on_message_begin(self) -> None:
         """Start a new request; raises ClientRequestError if too many are queued."""
-        self._unreported_bytes = 0
+        self._header_sections.start_message()
         if len(self.requests) >= limits.MAX_PIPELINED_REQUESTS:
             raise ClientRequestError(400, "too many requests at once")
         self.incomplete = ClientRequest(self._sink.driver.now(), self._sink.unread_since)
         self._sink.on_request_begun()
 
     def on_url(self, url: bytes) -> None:
-        """Append a fragment of the request target; raises ClientRequestError for an oversized head."""
+        """Append a fragment of the request target; raises HeaderSectionTooLarge."""
         message = self.incomplete
         assert message is not None
-        self._count_head_bytes(message, len(url))
+        self._header_sections.on_head_bytes(len(url))
         message.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header that is used; raises ClientRequestError for a repeated one or an oversized head."""
+        """Store a header that is used; raises ClientRequestError and HeaderSectionTooLarge."""
+        self._header_sections.on_field(name, value)
         name, message = name.lower(), self.incomplete
         assert message is not None
-        self._count_head_bytes(message, len(name) + len(value) + FIELD_SYNTAX_BYTES)
         if not message.is_reading_head:
             return  # Trailers are ignored.
         if name in self._used_headers:
@@ -167,6 +142,7 @@
         message = self.incomplete
         assert message is not None
         message.method, message.is_reading_head = self._parser.get_method(), False
+        message.head_bytes = self._header_sections.size
         length = message.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > limits.MAX_BODY_BYTES:
             raise ClientRequestError(413, "the body is over 64 KiB")
@@ -181,7 +157,7 @@
         """Append a fragment of the body; raises ClientRequestError if body or session are too large."""
         message = self.incomplete
         assert message is not None
-        self._unreported_bytes = 0
+        self._header_sections.on_body()
         message.body += data
         if len(message.body) > limits.MAX_BODY_BYTES:
             raise ClientRequestError(413, "the body is over 64 KiB")
@@ -190,6 +166,7 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         message, self.incomplete = self.incomplete, None
+        self._header_sections.start_message()
         assert message is not None
         message.keep_alive = self._parser.should_keep_alive()
         self.requests.append(message)
