Limit the header sections of executors' answers, and keep the used fields only

The node uses two fields of an answer.

Change: head and trailer of an answer may take 16 KiB, counted as for clients; only X-Load-Report and X-Rejected are kept. A larger head ends the attempt as malformed.

--- a/cedarmill/net/upstream/answer_reader.py
+++ b/cedarmill/net/upstream/answer_reader.py
@@ -4,10 +4,14 @@
 
 import httptools
 
+from cedarmill.net.header_sections import HeaderSectionMeter
+
 if TYPE_CHECKING:
     from cedarmill.net.upstream.exchange import Exchange
 
 MAX_ANSWER_BYTES = 1024 * 1024  # size limit of one whole answer
+MAX_HEAD_BYTES = 16 * 1024  # status line, header fields and trailer fields of one answer
+USED_HEADERS = frozenset((b"x-load-report", b"x-rejected"))
 
 
 class AnswerReader:
@@ -17,6 +21,7 @@
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.exchange: Exchange | None = None
         self.complete = self.keep_alive = False
+        self._header_sections = HeaderSectionMeter(MAX_HEAD_BYTES)
         self._answer_bytes = 0  # received so far of the current answer
 
     def expect(self, exchange: "Exchange") -> None:
@@ -24,10 +29,10 @@
         self.exchange, self.complete, self._answer_bytes = exchange, False, 0
 
     def feed(self, data: bytes) -> bool:
-        """Parse received bytes; return False for malformed data and for an answer over MAX_ANSWER_BYTES."""
+        """Parse received bytes; return False for malformed data and for an answer over its limits."""
         try:
-            self._open_parser().feed_data(data)
-        except Exception:  # malformed HTTP, or an answer that violates the protocol
+            self._header_sections.feed(self._open_parser(), data)
+        except Exception:  # malformed HTTP, an oversized head, or an answer that violates the protocol
             return False
         finally:
             self._answer_bytes += len(data)
@@ -51,12 +56,16 @@
 
     def on_message_begin(self) -> None:
         """Raise ValueError for a second answer to one request."""
+        self._header_sections.start_message()
         if self.complete:
             raise ValueError("second answer to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header of the answer."""
-        self._current_exchange().headers[name.lower()] = value
+        """Store a header of the answer that is used; trailers are ignored."""
+        self._header_sections.on_field(name, value)
+        exchange = self._current_exchange()
+        if not exchange.status and (name := name.lower()) in USED_HEADERS:
+            exchange.headers[name] = value
 
     def on_headers_complete(self) -> None:
         """Store the status and notify the exchange."""
@@ -66,6 +75,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the exchange."""
+        self._header_sections.on_body()
         self._current_exchange().on_body(data)
 
     def on_message_complete(self) -> None:
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -2,12 +2,10 @@
 
 import contextlib
 import itertools
-import re
 import socket
 import string
 import tracemalloc
 import unittest
-from pathlib import Path
 
 from cedarmill.net.clients.request import ClientRequest
 from cedarmill.net.clients.request_reader import RequestReader
@@ -25,7 +23,7 @@
 def short_fields(count: int) -> bytes:
     """Return header fields with different names of two or three letters and no value."""
     names = itertools.chain.from_iterable(
-        itertools.product(string.ascii_lowercase, repeat=length) for length in (2, 3)
+        itertools.product(string.ascii_lowercase, repeat=length) for length in (2, 3, 4)
     )
     return b"".join("".join(name).encode() + b":\r\n" for name in itertools.islice(names, count))
 
@@ -132,14 +130,6 @@
     memory_mb = 32  # This allows 83 sessions.
     session_count = 80
 
-    def peak_private_kib(self) -> int:
-        """Return the most private memory that the node has held so far."""
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        peak, file, shared = (
-            int(re.search(rf"{name}:\s+(\d+)", status)[1]) for name in ("VmHWM", "RssFile", "RssShmem")
-        )
-        return peak - file - shared
-
     def check_memory(self, text: bytes) -> None:
         """Send `text` on many connections beside a usual request, which is answered within the limit."""
         client = self.client().ask()
--- a/tests/support/node_case.py
+++ b/tests/support/node_case.py
@@ -204,6 +204,14 @@
             self.assertLess(time.monotonic(), until, "the condition was not met in time")
             select.select([], [], [], POLL_S)
 
+    def peak_private_kib(self) -> int:
+        """Return the most private memory that the node has held so far."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        peak, file, shared = (
+            int(re.search(rf"{name}:\s+(\d+)", status)[1]) for name in ("VmHWM", "RssFile", "RssShmem")
+        )
+        return peak - file - shared
+
     def client(self) -> Client:
         """Return a client of the node that is closed after the test."""
         client = Client(self.port)
