Lock the ids of open requests against the node's other process

One process alone answers 409.

Cause: the ids of open requests were a dictionary of each process; what two processes tell each other held slots, memory and counts, but no ids.

Log lines call-id-open and call-ids-not-shared are new.

Change: a process holds a record lock on one byte of a common file in $TMPDIR for each open request, at a checksum of the id. The system tells at once that another process holds it, so no moment is left as with documents that are read every 30 ms, and it frees the locks of a process that dies. If locks fail, one process serves as before; beside a live sibling new requests get 503, since their ids may be open there.

--- a/cedarmill/log_events.py
+++ b/cedarmill/log_events.py
@@ -131,6 +131,12 @@
     "sibling-unread": Event(
         logging.WARNING, "requests in flight at this node's sibling process not read: {reason}"
     ),
+    "call-id-open": Event(
+        logging.WARNING, "a request with the x-call-id of an open one got 409; {holder} holds that one"
+    ),
+    "call-ids-not-shared": Event(
+        logging.WARNING, "ids of open requests not shared with this node's sibling process: {reason}"
+    ),
     "sibling-processes": Event(logging.INFO, "sibling processes of this node that live: {siblings}"),
     "boot-unknown": Event(
         logging.WARNING, "this machine's boot has no id, documents are aged by Unix time: {reason}"
--- a/cedarmill/net/clients/routes.py
+++ b/cedarmill/net/clients/routes.py
@@ -45,7 +45,7 @@
     A proxy in front that cannot close the client's connection cancels a request in this way.
     """
     call_id = path.removeprefix(CALL_PATH_PREFIX)
-    other = session.server.sessions_by_call_id.get(call_id) if call_id != path else None
+    other = session.server.open_requests.session_of(call_id) if call_id != path else None
     caller = message.headers.get(b"x-caller")
     if (
         other is None
@@ -65,8 +65,6 @@
     call_id = message.headers.get(b"x-call-id", b"")
     if not CALL_ID.fullmatch(call_id):
         raise ClientRequestError(400, "bad x-call-id")
-    if call_id in server.sessions_by_call_id:
-        raise ClientRequestError(409, "a req with this x-call-id is open")
     request_class = server.classes.get(message.headers.get(b"x-call-class", b"").decode("latin-1"))
     if request_class is None:
         raise ClientRequestError(400, "unknown x-call-class")
@@ -83,14 +81,16 @@
         _request_key(path),
         message.headers.get(b"x-again") == b"1",
     )
-    server.record_valid_request(session)
     # A delayed event loop may read a request long after its client has disconnected.
     has_left = session.client_has_left()
     if has_left:
         session.drop()
         return
     if has_left is None:
+        server.record_valid_request(session)
         raise ClientRequestError(503, "refused")
+    server.open_requests.add(call_id, session)
+    server.record_valid_request(session)
     session.open_request(now, call_id, due, arrival)
 
 
--- a/cedarmill/net/clients/server.py
+++ b/cedarmill/net/clients/server.py
@@ -7,6 +7,7 @@
 from cedarmill.decisions import interface as api
 from cedarmill.log import log_event
 from cedarmill.net.clients import limits
+from cedarmill.net.clients.open_requests import OpenRequests
 from cedarmill.net.clients.session import ClientSession
 from cedarmill.net.config import Address
 from cedarmill.net.listener import Acceptor, AcceptResult, listening_socket
@@ -54,7 +55,7 @@
         self.sessions: set[ClientSession] = set()
         self.unproven_sessions: dict[ClientSession, None] = {}  # Oldest session first.
         self.idle_sessions: dict[ClientSession, None] = {}  # Longest idle session first.
-        self.sessions_by_call_id: dict[bytes, ClientSession] = {}
+        self.open_requests = OpenRequests()
         self.is_draining = self.closing = False
         self.is_draining_clients = False  # Connections close after their next response.
         # Time by which all requests must be answered (us); 0 before the shutdown.
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -240,8 +240,7 @@
             self.answer(500, b"internal error\n")
 
     def open_request(self, now: int, call_id: bytes, due: int, arrival: api.RequestArrived) -> None:
-        """Dispatch the current request, which is to be answered by `due` (us)."""
-        self.server.sessions_by_call_id[call_id] = self
+        """Dispatch the current request, which is among the open ones and is to be answered by `due` (us)."""
         self.call_id = call_id
         request = self.server.dispatch.arrive(now, self, self.current_message, due, arrival)
         if not request.answered:
@@ -250,8 +249,7 @@
     def _forget_request(self) -> None:
         """Remove the references to the open request."""
         self.request = None
-        if self.server.sessions_by_call_id.get(self.call_id) is self:
-            del self.server.sessions_by_call_id[self.call_id]
+        self.server.open_requests.remove(self.call_id, self)
 
     def _withdraw_request(self) -> None:
         """Withdraw the open request, if any, so that no further attempt starts."""
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -25,6 +25,7 @@
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.reload import ConfigurationReload
 from cedarmill.net.shutdown import Shutdown
+from cedarmill.net.upgrade.call_id_locks import CallIdLocks
 from cedarmill.net.upgrade.sibling import SiblingExchange
 from cedarmill.net.upgrade.warm_state import WarmStateSaver
 from cedarmill.net.upstream.pool import UpstreamPools
@@ -111,6 +112,7 @@
     def _apply_sibling_counts(self, siblings: list[ConnectionCounts]) -> None:
         """Limit this process to the sessions and connections that the node's other processes leave."""
         self.clients.max_sessions, self.pools.max_connections = split_limits(self.limits, siblings)
+        self.clients.open_requests.set_sibling_count(len(siblings))
 
     def _listen_for_health_checks(self) -> None:
         """Open the configured health check listeners; raise OSError."""
@@ -148,6 +150,7 @@
         self._open_listeners()
         self.admin_handlers.start()
         if self.inherited_socket is not None:  # a second process can be started while this one serves
+            self.clients.open_requests.share(CallIdLocks(self.config.name))
             self.warm_state.start()  # before discovery starts: a successor asks it at once
         self.discovery.start(self.config.known)
         if self.cluster_role is not None:
--- a/cedarmill/net/upgrade/state_file.py
+++ b/cedarmill/net/upgrade/state_file.py
@@ -22,7 +22,7 @@
     return os.path.join(os.environ.get("TMPDIR") or "/tmp", f"cedarmill-{safe_name}-{kind}.json")
 
 
-def _open_regular_file(path: str, flags: int) -> int:
+def open_regular_file(path: str, flags: int) -> int:
     """Return a descriptor of a regular file; raise OSError for any other kind, which reads could block on."""
     descriptor = os.open(path, flags | os.O_CLOEXEC | os.O_NONBLOCK, 0o600)
     try:
@@ -62,7 +62,7 @@
         """Take the lock unless it is held; raise BlockingIOError if another holds it, OSError on failure."""
         if self._descriptor >= 0:
             return
-        descriptor = _open_regular_file(self.path, os.O_RDWR | os.O_CREAT)
+        descriptor = open_regular_file(self.path, os.O_RDWR | os.O_CREAT)
         try:
             fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
@@ -91,7 +91,7 @@
         try:
             if _file_identity(os.stat(self.path)) == self._last_identity:
                 return None
-            descriptor = _open_regular_file(self.path, os.O_RDONLY)
+            descriptor = open_regular_file(self.path, os.O_RDONLY)
         except FileNotFoundError:
             return None
         try:
@@ -135,7 +135,7 @@
         """Replace the document atomically; raise OSError and keep the old document on failure."""
         temporary = f"{self.path}.{os.getpid()}-{id(self)}.tmp"
         try:
-            descriptor = _open_regular_file(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+            descriptor = open_regular_file(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
             try:
                 _write_all(descriptor, data, 0)
                 # Taken before the rename: once the document is replaced, no step may fail.
@@ -229,7 +229,7 @@
     def _ensure_open(self, flags: int) -> None:
         """Open the file unless it is open already; raise OSError."""
         if self._descriptor < 0:
-            self._descriptor = _open_regular_file(self.path, flags)
+            self._descriptor = open_regular_file(self.path, flags)
 
     def close(self) -> None:
         """Close the file, which releases its lock."""
--- a/tests/support/system_call_faults.py
+++ b/tests/support/system_call_faults.py
@@ -3,7 +3,7 @@
 Tests run a process of the program under this script, with the command line from `FaultPlan.command`, and arm
 faults through the `FaultPlan` while the process runs. The program itself is unchanged. Names of the calls:
 
-* `accept`, `setsockopt`, `getsockopt`, `ioctl`, `poll`, `flock`: functions of the standard library;
+* `accept`, `setsockopt`, `getsockopt`, `ioctl`, `poll`, `flock`, `lockf`: functions of the standard library;
 * `open` (the built-in and os.open), `write`, `pwrite`, `read`, `pread`, `fsync`, `fdatasync`, `ftruncate`,
   `replace`, `remove`, `listdir`, `stat`: calls on files, matched by path where the call has one;
 * `connect` (matched by HOST:PORT) and `open_session`: connections that the event loop opens and accepts;
@@ -190,6 +190,7 @@
         for name in ("write", "pwrite", "read", "pread", "fsync", "fdatasync", "ftruncate"):
             self.wrap(os, name, name, named=True)
         self.wrap(fcntl, "flock", "flock")
+        self.wrap(fcntl, "lockf", "lockf")
         self.wrap(fcntl, "ioctl", "ioctl")
         self.wrap(select, "poll", "poll")
         for name in ("accept", "setsockopt", "getsockopt"):
