Look up the id of a queued request when it is read, too

Callers saw: a bad client's request with the id of another client's open request ran a second time if it was sent behind a request of its own on the same connection.

Cause: the id was looked up at the request's turn only; by then the first client may have its answer.

Change: a request that has to wait is looked up when it is read, in this process and its sibling, and gets 409 in order. The look-up at its turn stays. A request that is served at once has one look-up, as before.

--- a/cedarmill/net/clients/routes.py
+++ b/cedarmill/net/clients/routes.py
@@ -58,6 +58,16 @@
     session.answer(200, b"recalled\n")
 
 
+def check_queued(server: "ClientServer", message: ClientRequest) -> None:
+    """Reject a request that has to wait if its id is open now, though it may not be when it is served."""
+    call_id = message.headers.get(b"x-call-id")
+    if call_id is not None and message.fault is None:
+        try:
+            server.open_requests.check_closed(call_id)
+        except ClientRequestError as fault:
+            message.fault = fault
+
+
 def _dispatch(session: "ClientSession", message: ClientRequest, path: bytes) -> None:
     """Validate a request and dispatch it, unless its client has disconnected."""
     server, now = session.server, session.driver.now()
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -103,8 +103,10 @@
 
     def on_request_read(self) -> None:
         """Record that a request was queued."""
-        lifecycle = self.lifecycle
+        lifecycle, requests = self.lifecycle, self.reader.requests
         lifecycle.step(lifecycle.last_byte_at, _REQUEST_READ)
+        if self.current_message is not None or len(requests) > 1 or lifecycle.is_write_blocked:
+            routes.check_queued(self.server, requests[-1])
 
     def on_continue_expected(self) -> None:
         """Send `100 Continue`, unless an earlier request is still unanswered."""
--- a/tests/net/test_open_call_ids.py
+++ b/tests/net/test_open_call_ids.py
@@ -4,6 +4,7 @@
 import unittest
 
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
+from tests.net.test_client_cancellation import RawClientCase, raw
 from tests.net.test_upgrade import InheritedSocketCase
 from tests.support.faulty_node_case import FaultyNodeCase
 from tests.support.node_case import WAIT, Client, ReceivedRequest
@@ -97,6 +98,21 @@
         self.open_request(new_session).done()
         self.assertEqual(new_session.answer()[0], 200)
 
+    def test_a_queued_request_with_an_id_open_in_the_other_process_is_rejected(self):
+        """Its turn comes after the other process has answered; the id was open when it was read."""
+        received = self.open_request(self.old_session)
+        new_session = self.start_new_process()
+        duplicate = raw(1, "issue").replace(b"raw1", CALL_ID.encode())
+        new_session.sock.sendall(raw(2) + duplicate)
+        first = self.executors[0].next_request()
+        received.done()
+        self.assertEqual(self.old_session.answer()[0], 200)
+        first.done()
+        answers = new_session.sock.makefile("rb")
+        text = b"".join(iter(answers.readline, b"a req with this x-call-id is open\n"))
+        self.assertEqual((text.count(b"HTTP/1.1 200"), text.count(b"HTTP/1.1 409")), (1, 1))
+        self.assertTrue(self.executors[0].received.empty())
+
     def test_ids_are_locked_again_in_a_file_that_was_deleted(self):
         """Guards against a cleaner of temporary files that makes the processes use two files."""
         self.open_request(self.old_session)
@@ -127,6 +143,37 @@
         self.assertTrue([line for line in self.log if "ids of open requests not shared" in line])
 
 
+class QueuedRequests(RawClientCase):
+    """Requests that a client sends ahead, which are served after the one before."""
+
+    executor_count = 2
+
+    def next_request(self) -> ReceivedRequest:
+        """Return the next request at any of the executors."""
+        self.wait_for(lambda: any(not server.received.empty() for server in self.executors))
+        return next(server for server in self.executors if not server.received.empty()).next_request()
+
+    def test_a_queued_request_with_an_id_that_was_open_when_it_was_read_is_rejected(self):
+        """Guards against a look-up at the request's turn only, when the first client has its answer."""
+        usual = self.client().ask("issue", **SECOND_ID)
+        received = self.next_request()
+        sock = self.raw_client()
+        duplicate = raw(1, "issue").replace(b"raw1", CALL_ID.encode())
+        sock.sendall(raw(2) + duplicate + raw(3))
+        first = self.next_request()
+        received.done()
+        self.assertEqual(usual.answer()[0], 200)
+        first.done()
+        third = self.next_request()
+        self.assertEqual(third.headers["X-Call-Id"], "raw3")
+        third.done()
+        stream, statuses = sock.makefile("rb"), []
+        while len(statuses) < 3:
+            line = stream.readline()
+            statuses += [int(line.split()[1])] if b"HTTP/1.1 " in line else []
+        self.assertEqual(statuses, [200, 409, 200])
+
+
 class Locks(unittest.TestCase):
     def test_ids_have_different_offsets(self):
         from cedarmill.net.upgrade import call_id_locks
