--- a/cedarmill/cluster/gossip_plan.py
+++ b/cedarmill/cluster/gossip_plan.py
@@ -13,13 +13,16 @@
 from math import exp
 from typing import NamedTuple
 
-USERS_PER_EXECUTOR = 4  # nodes assigned to an executor
+# Nodes assigned to an executor. The more they are, the less each knows of what the others have just sent
+# there (docs/measurements/overload.md).
+USERS_PER_EXECUTOR = 4
 MIN_EXECUTORS = 6  # per node
 # A node with more than this multiple of an even share of the traffic uses more executors. Their minimum
 # number grows in steps of the same factor.
 UNEVEN_FACTOR = 1.5
 SHARE_INTERVAL_S = 0.2  # minimum interval between two reports shared by a node on one executor
-REPORT_DECAY_S = 1.6  # time constant with which an estimate decays from the report to the mean load
+# Time constant with which an estimate decays from the report to the mean load: eight mean running times.
+REPORT_DECAY_S = 1.6
 MAX_SENT_FACTOR = 6  # upper bound on the multiplier of own requests when checking for a full executor
 MAX_AGE_S = 3.0  # maximum age of a report in use
 MEAN_LOAD_GAIN = 0.1  # weight of a new report in the moving mean of the load
--- a/cedarmill/cluster/state_machine/rollout.py
+++ b/cedarmill/cluster/state_machine/rollout.py
@@ -16,7 +16,7 @@
 
 MAX_UNEXPECTED_EXITS = 2  # exits since the order at which a unit has failed; a single exit is tolerated
 MAX_BAKE_FACTOR = 4  # limit of the bake time, as a multiple of the plan's, with too few requests to compare
-RELEASE_PERMIT_WAIT_US = 3_600_000_000
+RELEASE_PERMIT_WAIT_US = 3_600_000_000  # a release waits for room for as long as it takes
 REFUSED_RETRY_DELAY_US = 1_000_000  # delay before a refused permit request is repeated
 
 
--- a/cedarmill/deadlines/propagation.py
+++ b/cedarmill/deadlines/propagation.py
@@ -15,7 +15,7 @@
 from cedarmill.decisions.interface import NEVER_RAN, Outcome
 from cedarmill.values import DeadlineOptions
 
-RUN_TIME_GAIN = 1 / 16  # weight of a new sample in the moving average of a class's running time
+RUN_TIME_GAIN = 1 / 16  # weight of a new running time; the mean follows a changed load within some tens
 
 
 class ClaimState(IntEnum):
--- a/cedarmill/decisions/discovery_calls.py
+++ b/cedarmill/decisions/discovery_calls.py
@@ -65,7 +65,7 @@
     )
     if predecessor is not None:
         executor.slots, executor.attempts = predecessor.slots, predecessor.attempts
-        executor.slow_start = predecessor.slow_start  # a restart does not renew the budget
+        executor.slow_start = predecessor.slow_start  # a start listed again, a little later, is no new budget
     return executor
 
 
@@ -74,6 +74,7 @@
 ) -> None:
     """Schedule a call to discovery after a random delay, so that balancers do not call all at once.
 
+    All balancers lose the list at the same moment, and discovery serves few calls at a time.
     The delay is spread over a time that grows with the number of balancers and with `spread_factor`, up to
     `spread_limit` times `ask_within_us`.
     """
--- a/cedarmill/decisions/learning.py
+++ b/cedarmill/decisions/learning.py
@@ -47,7 +47,7 @@
     if report is None or not _is_new_report(state, executor, report):
         return
     executor.report, executor.reported_at = report, executor.last_response_at
-    # Attempts that ended before the report are left out: others may have taken their slots.
+    # Attempts that ended before are left out: the report is mostly older, but others may use their slots.
     running = [attempt.request for attempt in (*executor.attempts.values(), *ended) if attempt.started_at]
     executor.release_stale_reservations(state.now - 1)
     columns = state.report_columns
@@ -55,7 +55,7 @@
         own_slots = executor.sibling_slots + sum(request.slots for request in running)
         queued = report[columns.queue] if columns.queue is not None else None
         _learn_slots(state, executor, own_slots, report[columns.free_slots], queued)
-    if columns.errors_per_s is not None:  # includes the requests of all balancers
+    if columns.errors_per_s is not None:  # of all balancers' requests, far more than the own ones show
         executor.reported_errors = report[columns.errors_per_s] * state.learned.mean_run_us / 1e6
     if columns.free_memory is not None:
         own_memory = executor.sibling_memory + sum(request.memory for request in running)
@@ -130,7 +130,7 @@
     learned, class_run_us = state.learned, state.class_times(request).mean_us
     if executor.stale_reservations:  # executors without reports would stay full otherwise
         executor.release_stale_reservations(state.now - STALE_RESERVATION_RUNS * int(class_run_us))
-    # An old report loses weight in favour of the mean over all executors.
+    # An old report gives way to the mean of all executors: most of its slots were taken or freed since.
     report_weight = 0.0
     if executor.last_response_at:
         report_weight = math.exp(
@@ -146,7 +146,7 @@
     )
     if executor.rejected_at and state.now < executor.rejected_at + learned.mean_run_us:
         queue_places_open = 0.0  # its queue is full, or it has none
-    # A request with less slack than its class may use fewer queue places.
+    # A request with less slack than its class may use fewer queue places: if it waits, it is late.
     class_slack_us = _slack_for_run(request, class_run_us)
     slack_factor = 1 - report_weight * max(0.0, 1 - slack_us(state, request) / class_slack_us)
     slots_with_queue = idle_slots + queue_places_open * slack_factor
--- a/cedarmill/decisions/outliers.py
+++ b/cedarmill/decisions/outliers.py
@@ -11,11 +11,11 @@
 # Multiple of the connect time-out, doubled by each consecutive failure.
 PROBATION_DELAY_CONNECT_TIMEOUTS = 2.0
 MAX_PROBATION_DOUBLINGS = 4
-PROBATION_JITTER = 0.5, 1.5  # range of the random factor on the probation delay
+PROBATION_JITTER = 0.5, 1.5  # range of the factor on the probation delay: not all come back at once
 ERRORS_DECAY_RUNS = 8.0  # time constant of reported errors, in mean running times
-MAX_TOLERATED_ERRORS = 0.05  # reported errors per mean running time
+MAX_TOLERATED_ERRORS = 0.05  # reported errors per mean running time; above, an executor is a last resort
 ERROR_WEIGHT = 3  # samples that an error counts as
-BROKEN_CONNECTION_WEIGHT = 1  # samples that a broken connection counts as
+BROKEN_CONNECTION_WEIGHT = 1  # samples that a broken connection counts as: it is the end of one connection
 HEALTH_BASE = 1.001  # health is (base - excess errors) ** exponent, and so never 0
 HEALTH_EXPONENT = 3
 
@@ -78,7 +78,7 @@
 
 def _update_health(state: BalancerState, executor: Executor) -> None:
     """Update an executor's health from its errors in excess of the mean, and from its slowdown."""
-    # Errors that are common to all executors do not count.
+    # Errors that are common to all executors do not count, since they say nothing about this one.
     excess_errors = max(0.0, executor.error_share - state.learned.error_share)
     error_factor = (HEALTH_BASE - excess_errors) ** HEALTH_EXPONENT
     executor.health = error_factor * math.exp(-max(0.0, executor.slowdown))
--- a/cedarmill/decisions/retries.py
+++ b/cedarmill/decisions/retries.py
@@ -10,8 +10,8 @@
 from cedarmill.decisions.interface import DeduplicationScope, Effect
 from cedarmill.decisions.state import Attempt, BalancerState, Executor, Request
 
-MAX_WRITE_DELAY_US = 150_000  # between reading the clock and writing to the connection
-CLIENT_CLOSE_GRACE_US = 100_000  # latest start of an attempt after its client's deadline
+MAX_WRITE_DELAY_US = 150_000  # a node may be held up for this long between reading the clock and writing
+CLIENT_CLOSE_GRACE_US = 100_000  # an attempt that begins later after its client's end counts as lost
 MARGIN_TICKS = 2  # ticks of the clock before the end of a deadline or a window
 
 
--- a/cedarmill/decisions/selection.py
+++ b/cedarmill/decisions/selection.py
@@ -17,10 +17,10 @@
 EXECUTORS_SAMPLED = 8  # per pool and request; bounds the cost of an event
 # Executors of a pool that are preferred, so that connections and reports are reused.
 PREFERRED_SUBSET_SIZE = 128
-PROBES_PER_ROUND = 2
+PROBES_PER_ROUND = 2  # sent together, for a request that finds no fresh report of an idle slot
 PROBE_WAIT_CONNECT_TIMEOUTS = 0.06  # time to wait for probes, as a share of the connect time-out
 MIN_PROBE_WAITS_LEFT = 4  # probe waits that must remain before the deadline
-FRESH_REPORT_RUNS = 1.0  # age up to which a report is fresh, in mean running times
+FRESH_REPORT_RUNS = 1.0  # age up to which a report is used without a new probe, in mean running times
 UNKNOWN_AFTER_DECAYS = 3  # age at which a report is worthless, in its decay times
 # Zones with a smaller share are on trial; their requests may fall back to another zone.
 TRIAL_ZONE_SHARE = 0.05
@@ -77,7 +77,7 @@
 
 
 def _send_to_reinstated(state: BalancerState, request: Request) -> bool:
-    """Send a request to an executor that operators have just reinstated, as they expect it to serve.
+    """Send a request to an executor just reinstated by operators: it is idle, and they expect it to serve.
 
     Every balancer sees the same list, so each does this with the probability of its traffic share.
     """
--- a/cedarmill/decisions/slow_start.py
+++ b/cedarmill/decisions/slow_start.py
@@ -17,7 +17,7 @@
 MAX_SHARE_SUM = 1.4  # bound on the sum of all shares, since each balancer may use at least an even share
 SMALL_WINDOW_REQUESTS = 30  # below, the limit has a wider margin for random variation
 SMALL_WINDOW_SLACK, LARGE_WINDOW_SLACK = 3, 2  # factor of sqrt(N), and constant, of that margin
-MIN_WORK_SHARE = 0.5  # lower bound of a request's expected work, as a share of its class's mean
+MIN_WORK_SHARE = 0.5  # least expected work, in means of the class: all that overload an executor may be short
 MIN_MEAN_WORK_US = 1.0  # requests may need no slots at all
 WORK_ESTIMATE_SAMPLES = 20 * EXECUTOR_SAMPLES  # window of the estimate, in requests
 
@@ -112,7 +112,7 @@
 
 
 def expected_work_us(state: BalancerState, request: Request) -> float:
-    """Return the expected slot-time (us) of a request by its hint, bounded below by its class."""
+    """Return a request's slot-time (us) by its hint, at least by its class: short hints are too low."""
     min_us = request.slots * state.class_times(request).mean_us * MIN_WORK_SHARE
     return max(hinted_work_us(state, request), min_us)
 
--- a/cedarmill/net/admin/server.py
+++ b/cedarmill/net/admin/server.py
@@ -16,9 +16,9 @@
 from cedarmill.net.bounded_sessions import BoundedListener, BoundedSession, ListenerLimits, OverflowPolicy
 from cedarmill.net.loop import EventLoopDriver, guarded_callback
 
-MAX_SESSIONS = 16
+MAX_SESSIONS = 16  # Operators' tools make a few calls at a time.
 MAX_DESCRIPTORS = MAX_SESSIONS + 1  # Includes the listening socket.
-REQUEST_TIMEOUT_US = 2_000_000
+REQUEST_TIMEOUT_US = 2_000_000  # Requests are a line and a few headers.
 RESPONSE_TIMEOUT_US = 1_000_000
 MAX_REQUEST_BYTES = 8 * 1024  # Head and body together.
 LIMITS = ListenerLimits(
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -39,8 +39,8 @@
 OWN_DESCRIPTORS = 24  # event loop, log, listening socket, discovery, and a reserve
 CLUSTER_DESCRIPTORS = 8  # connection to a replica, gossip listener and its connections
 HEALTH_DESCRIPTORS = 33  # each health listener: its socket and 32 sessions
-OWN_MEMORY_MB = 24  # each process, before its first session
-SESSION_MB = 0.096  # each session, with a request body of 64 KiB
+OWN_MEMORY_MB = 24  # each process, before its first session; 16 to 20 are in use
+SESSION_MB = 0.096  # each session; 0.07 are in use with a body of 64 KiB that waits for its end
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
--- a/cedarmill/net/upgrade/warm_state.py
+++ b/cedarmill/net/upgrade/warm_state.py
@@ -18,7 +18,7 @@
 from cedarmill.net.upgrade.state_file import InPlaceStateFile, state_file_path
 
 DOCUMENT_KIND = "memory"
-SAVE_INTERVAL_US = 500_000
+SAVE_INTERVAL_US = 500_000  # what a replaced process leaves is at most this old
 MAX_AGE_US = 30_000_000  # an older document is ignored: its executors may have been replaced since
 LISTING_GRACE_US = 3_000_000  # time for discovery to list the executors of a restored document
 
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -27,7 +27,8 @@
 IDLE_TIMEOUT_FRACTION = 0.5  # fraction of the executor's own idle timeout after which a connection closes
 PERMISSION_RETRY_US = 20_000  # interval of the checks whether the cluster permits a connection
 IDLE_REUSE_PAUSE_US = 30_000_000  # unsafe attempts avoid idle connections after one broke under a request
-DUPLICATE_ANSWER_WINDOW_US = 50_000  # an executor may send a second answer this long after the first
+# An executor may send a second answer this long after the first; it must not be read as the next request's.
+DUPLICATE_ANSWER_WINDOW_US = 50_000
 ABORT_RETRY_US = 20_000  # delay before a failed abort of a transport is repeated
 ANSWER_END_TIMEOUT_US = 1_000_000  # time for an HTTP message to end after its final line
 MALFORMED_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_MALFORMED)
--- a/cedarmill/net/upstream/request_writer.py
+++ b/cedarmill/net/upstream/request_writer.py
@@ -18,7 +18,8 @@
     from cedarmill.net.upstream.exchange import Exchange
 
 LAST_BYTE_DELAY_US = 2_000  # an unsafe attempt's last byte follows its other bytes after this delay
-MAX_SINGLE_WRITE_BYTES = 8 * 1024  # longer requests are sent without their last byte first
+# The system takes this much in one write; longer requests are sent without their last byte first.
+MAX_SINGLE_WRITE_BYTES = 8 * 1024
 SEND_TIMEOUT_US = 50_000  # a request that leaves later overstates the remaining time in its header
 
 
