--- a/tests/net/cluster/test_node_role.py
+++ b/tests/net/cluster/test_node_role.py
@@ -73,8 +73,7 @@
     def test_an_executor_counts_as_drained_only_after_its_request_has_ended(self):
         self.wait_until_joined()
         client = self.client().ask()
-        self.wait_for(lambda: any(not server.received.empty() for server in self.executors))
-        number = next(index for index, server in enumerate(self.executors) if not server.received.empty())
+        number = self.wait_received()
         self.assertEqual(call_admin_api(self.admin_api, "PUT", f"/api/exclude/s-{number}")[0], 200)
         self.wait_log(f"excluded: s-{number}")
         self.assertEqual([row["drained"] for row in self.look("permits")], [0])
--- a/tests/net/test_admin_api.py
+++ b/tests/net/test_admin_api.py
@@ -382,8 +382,7 @@
         with socket.create_connection(("127.0.0.1", self.admin_api_port), timeout=WAIT) as sock:
             sock.sendall(b"PUT /api/exclude/s-1 HTTP/1.1\r\nHost: door\r\n\r\n")
             began, client = time.monotonic(), self.client().ask()
-            self.wait_for(lambda: any(server.received.qsize() for server in self.executors))
-            next(server for server in self.executors if server.received.qsize()).next_request().done()
+            self.next_request().done()
             self.assertEqual(client.answer()[0], 200)
             self.assertEqual(read_answer(sock)[0], 503)
         self.assertLess(time.monotonic() - began, 1.0)  # Time limit of an admin request.
@@ -442,8 +441,7 @@
         idle, busy = self.client(), self.client().ask()
         idle.request("GET", "/ready")
         self.assertEqual(idle.answer()[0], 200)
-        self.wait_for(lambda: any(not server.received.empty() for server in self.executors))
-        asked = next(server for server in self.executors if not server.received.empty()).next_request()
+        asked = self.next_request()
         self.assertEqual(call_admin_api(self.admin_api_port, "PUT", "/api/evacuate"), (200, b"evacuating\n"))
         self.assertEqual(self.ready(), 503)
         self.assertEqual(call_admin_api(self.admin_api_port, "GET", "/api/ready")[0], 503)
@@ -460,14 +458,13 @@
         """Requests received before the drain are answered, and a partial one may be completed."""
         with socket.create_connection(("127.0.0.1", self.port), timeout=WAIT) as sock:
             sock.sendall(raw(1) + raw(2) + raw(3)[:60])
-            self.wait_for(lambda: any(server.received.qsize() for server in self.executors))
+            self.wait_received()
             self.assertEqual(call_admin_api(self.admin_api_port, "PUT", "/api/evacuate")[0], 200)
             for number in (1, 2, 3):
-                self.wait_for(lambda: any(server.received.qsize() for server in self.executors))
+                received = self.next_request()
                 if number == 2:
                     sock.sendall(raw(3)[60:])
-                server = next(server for server in self.executors if server.received.qsize())
-                server.next_request().done(f"answer {number}")
+                received.done(f"answer {number}")
             text = b""
             while chunk := sock.recv(4096):
                 text += chunk
@@ -491,11 +488,11 @@
 
     def test_drained_and_terminated_node_answers_its_pending_requests(self):
         busy = self.client().ask()
-        self.wait_for(lambda: any(not server.received.empty() for server in self.executors))
+        received = self.next_request()
         call_admin_api(self.admin_api_port, "PUT", "/api/evacuate")
         self.terminate()
         self.wait_log("no new sessions")
-        next(server for server in self.executors if not server.received.empty()).next_request().done()
+        received.done()
         self.assertEqual(busy.answer()[0], 200)
         self.assertEqual(self.process.wait(WAIT), 0)
 
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -12,7 +12,6 @@
 
 from tests.net.test_client_cancellation import RawClientCase, raw
 from tests.support.node_case import WAIT, NodeCase
-from tests.support.stand_in_server import ReceivedRequest
 
 EARLY_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{"state":"done","result":1}'
 REJECTION = "HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
@@ -251,15 +250,10 @@
     executor_count = 4  # enough slots for a request of each session
     unread_s = 0.4  # The node may read a request up to 0.15 s late.
 
-    def next_received(self) -> ReceivedRequest:
-        """Wait for the next request at any executor and return it."""
-        self.wait_for(lambda: any(not executor.received.empty() for executor in self.executors))
-        return next(server for server in self.executors if not server.received.empty()).next_request()
-
     def forwarded_budget_s(self, number: int) -> float:
         """Return the budget that the executor receives with this request, after answering earlier ones."""
         while True:
-            request = self.next_received()
+            request = self.next_request()
             if request.headers["X-Call-Id"] == f"raw{number}":
                 return int(request.headers["X-Budget-Ms"]) / 1000
             request.done()
@@ -272,7 +266,7 @@
     def test_time_unread_in_the_socket_is_subtracted_from_the_budget(self):
         sock = self.raw_client()
         sock.sendall(raw(1))
-        first = self.next_received()
+        first = self.next_request()
         sock.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
         other_client = self.client()
         other_client.request("GET", "/ready")
@@ -288,7 +282,7 @@
         for number in range(self.session_limit):
             open_clients.append(self.raw_client())
             open_clients[-1].sendall(raw(number))
-            self.next_received()
+            self.next_request()
         late = self.raw_client()
         late.sendall(raw(100))
         self.wait_log(f"client sessions at their bound of {self.session_limit}")
--- a/tests/net/test_executor_memory.py
+++ b/tests/net/test_executor_memory.py
@@ -5,7 +5,7 @@
 import unittest
 
 from tests.net.test_client_memory import short_fields
-from tests.support.node_case import POLL_S, NodeCase, ReceivedRequest
+from tests.support.node_case import POLL_S, NodeCase
 
 ANSWER_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 ANSWER_BYTES = 900_000
@@ -39,11 +39,6 @@
     def test_a_trailer_without_an_end_stays_within_the_memory_limit(self):
         self.check_memory(ANSWER_HEAD + "\r\n0\r\nX: " + "a" * ANSWER_BYTES)
 
-    def next_request(self) -> ReceivedRequest:
-        """Return the next request at any of the executors."""
-        self.wait_for(lambda: any(not executor.received.empty() for executor in self.executors))
-        return next(executor for executor in self.executors if not executor.received.empty()).next_request()
-
     def test_an_answer_with_unknown_fields_and_trailers_is_used(self):
         client = self.client().ask("issue")
         request = self.next_request()
--- a/tests/net/test_open_call_ids.py
+++ b/tests/net/test_open_call_ids.py
@@ -148,11 +148,6 @@
 
     executor_count = 2
 
-    def next_request(self) -> ReceivedRequest:
-        """Return the next request at any of the executors."""
-        self.wait_for(lambda: any(not server.received.empty() for server in self.executors))
-        return next(server for server in self.executors if not server.received.empty()).next_request()
-
     def test_a_queued_request_with_an_id_that_was_open_when_it_was_read_is_rejected(self):
         """Guards against a look-up at the request's turn only, when the first client has its answer."""
         usual = self.client().ask("issue", **SECOND_ID)
--- a/tests/net/test_upgrade.py
+++ b/tests/net/test_upgrade.py
@@ -99,8 +99,7 @@
     def old_process_served_by(self) -> int:
         """Send a request on the old process's session; return the number of the executor that served it."""
         self.old_session.ask()
-        self.wait_for(lambda: any(not server.received.empty() for server in self.executors))
-        number = next(n for n, server in enumerate(self.executors) if not server.received.empty())
+        number = self.wait_received()
         self.executors[number].next_request().done()
         self.assertEqual(self.old_session.answer()[0], 200)
         return number
@@ -139,14 +138,14 @@
         """The second process exits before the first, which has a request in flight; the third serves on."""
         second = self.process
         self.old_session.ask()
-        self.wait_for(lambda: any(server.received.qsize() for server in self.executors))
+        self.wait_received()
         self.start_successor()
         third_admin_port = self.admin_port()
         second.terminate()
         self.assertEqual(second.wait(WAIT), 0)
         second.stderr.close()
         self.old.terminate()
-        next(server for server in self.executors if server.received.qsize()).next_request().done()
+        self.next_request().done()
         self.assertEqual(self.old_session.answer()[0], 200)
         self.assertEqual(self.old.wait(WAIT), 0)
         self.assertEqual(call_admin_api(third_admin_port, "GET", "/api/ready"), (200, b"ready\n"))
--- a/tests/support/node_case.py
+++ b/tests/support/node_case.py
@@ -218,6 +218,15 @@
         self.addCleanup(client.close)
         return client
 
+    def wait_received(self) -> int:
+        """Wait until an executor has received a request; return the index of the executor."""
+        self.wait_for(lambda: any(not server.received.empty() for server in self.executors))
+        return next(n for n, server in enumerate(self.executors) if not server.received.empty())
+
+    def next_request(self) -> ReceivedRequest:
+        """Wait for the next request at any executor and return it."""
+        return self.executors[self.wait_received()].next_request()
+
     def served_by(self) -> int:
         """Send a request, answer it, and return the index of the executor that received it."""
         client, served = self.client().ask(), -1
