--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import itertools
+import re
 import socket
 import string
 import tracemalloc
 import unittest
+from pathlib import Path
 
 from cedarmill.net.clients.request import ClientRequest
 from cedarmill.net.clients.request_reader import RequestReader
@@ -13,7 +15,7 @@
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.node import SESSION_MB
 from tests.net.test_client_cancellation import RawClientCase, raw
-from tests.support.node_case import WAIT
+from tests.support.node_case import WAIT, NodeCase
 
 HEAD = b"POST /api HTTP/1.1\r\nX-Call-Id: a1\r\nX-Call-Class: pin\r\nX-Budget-Ms: 5000\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -123,6 +125,29 @@
                 self.assertEqual(len(request.headers[b"idempotency-key"]), 16_000)
 
 
+class LowMemory(NodeCase):
+    sockets = 1024
+    memory_mb = 32
+
+    def test_incomplete_bodies_stay_within_the_memory_limit(self):
+        """The platform kills a node that exceeds its memory limit."""
+
+        def private_kib() -> int:
+            text = Path(f"/proc/{self.process.pid}/smaps_rollup").read_text()
+            return sum(int(kb) for kb in re.findall(r"Private_\w+: +(\d+)", text))
+
+        before = private_kib()
+        for _ in range(400):
+            sock = socket.create_connection(("127.0.0.1", self.port), timeout=WAIT)
+            self.addCleanup(sock.close)
+            with contextlib.suppress(OSError):
+                sock.sendall(b"POST /api HTTP/1.1\r\nContent-Length: 65000\r\n\r\n" + b"x" * 64000)
+        client = self.client().ask()
+        self.executors[0].next_request().done()
+        self.assertEqual(client.answer()[0], 200)
+        self.assertLess(private_kib() - before, 12_000)
+
+
 class NodeMemory(RawClientCase):
     """The platform kills a node over its memory limit, with all requests that it holds."""
 
--- a/tests/net/test_node.py
+++ b/tests/net/test_node.py
@@ -10,7 +10,6 @@
 import sys
 import time
 import unittest
-from pathlib import Path
 
 from tests.support.node_case import ROOT, WAIT, NodeCase, StandInServer
 
@@ -346,29 +345,6 @@
         self.assertLess(time.monotonic() - began, 4)
 
 
-class LowMemory(NodeCase):
-    sockets = 1024
-    memory_mb = 32
-
-    def test_incomplete_bodies_stay_within_the_memory_limit(self):
-        """The platform kills a node that exceeds its memory limit."""
-
-        def private_kib() -> int:
-            text = Path(f"/proc/{self.process.pid}/smaps_rollup").read_text()
-            return sum(int(kb) for kb in re.findall(r"Private_\w+: +(\d+)", text))
-
-        before = private_kib()
-        for _ in range(400):
-            sock = socket.create_connection(("127.0.0.1", self.port), timeout=WAIT)
-            self.addCleanup(sock.close)
-            with contextlib.suppress(OSError):
-                sock.sendall(b"POST /api HTTP/1.1\r\nContent-Length: 65000\r\n\r\n" + b"x" * 64000)
-        client = self.client().ask()
-        self.executors[0].next_request().done()
-        self.assertEqual(client.answer()[0], 200)
-        self.assertLess(private_kib() - before, 12_000)
-
-
 class Unreachable(NodeCase):
     def test_an_unsafe_request_whose_connect_is_refused_is_answered_503(self):
         """A refused connect proves that the request never ran, so the client may retry."""
