Forget the descriptor of the locks' file before it is closed

If the close of a deleted file failed, CallIdLocks kept a descriptor that is closed by then, and each later lock failed; FileLock.release has this order already. Found by reading, no run showed it. A comment of the answer reader no longer names the status line, which the limit does not count.

--- a/cedarmill/net/upgrade/call_id_locks.py
+++ b/cedarmill/net/upgrade/call_id_locks.py
@@ -74,8 +74,8 @@
         """Close a file that was deleted, since siblings that start later cannot find its locks."""
         try:
             if self._descriptor >= 0 and not os.fstat(self._descriptor).st_nlink:
-                os.close(self._descriptor)
-                self._descriptor = -1
+                descriptor, self._descriptor = self._descriptor, -1
+                os.close(descriptor)
         except OSError as error:
             log_event("call-ids-not-shared", reason=error)
 
--- a/cedarmill/net/upstream/answer_reader.py
+++ b/cedarmill/net/upstream/answer_reader.py
@@ -10,7 +10,7 @@
     from cedarmill.net.upstream.exchange import Exchange
 
 MAX_ANSWER_BYTES = 1024 * 1024  # size limit of one whole answer
-MAX_HEAD_BYTES = 16 * 1024  # status line, header fields and trailer fields of one answer
+MAX_HEAD_BYTES = 16 * 1024  # header fields and trailer fields of one answer
 USED_HEADERS = frozenset((b"x-load-report", b"x-rejected"))
 
 
