End the old process of an upgrade by one method in three test classes

Also: chunks of the largest request by one expression, signals by their names, an import at the top. Assertions are unchanged.

--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -23,7 +23,7 @@
 
 
 def short_fields(count: int) -> bytes:
-    """Return header fields with different names of two or three letters and no value."""
+    """Return header fields with different names of two to four letters and no value."""
     names = itertools.chain.from_iterable(
         itertools.product(string.ascii_lowercase, repeat=length) for length in (2, 3, 4)
     )
@@ -106,15 +106,8 @@
     def test_the_largest_allowed_request_is_read_in_parts_of_any_size(self):
         """Guards against a limit that counts a field twice, or bytes of the body as a head."""
         text = HEAD + b"Idempotency-Key: " + b"k" * 16_000 + b"\r\nTransfer-Encoding: chunked\r\n\r\n"
-        text += b"40\r\n" + b"x" * 64 + b"\r\n"
-        text = (
-            text
-            + b"fc0\r\n"
-            + b"y" * 4032
-            + b"\r\n"
-            + (b"1000\r\n" + b"z" * 4096 + b"\r\n") * 15
-            + b"0\r\n\r\n"
-        )
+        chunks = [b"%x\r\n" % size + b"x" * size + b"\r\n" for size in (64, 4032, *[4096] * 15)]
+        text += b"".join(chunks) + b"0\r\n\r\n"
         for size in (1, 3, 1000, 4096, 4097, len(text)):
             with self.subTest(size=size):
                 reader = RequestReader(Sink(), USED_HEADERS)
--- a/tests/net/test_open_call_ids.py
+++ b/tests/net/test_open_call_ids.py
@@ -1,8 +1,10 @@
 """A request with the id of an open one is rejected, also where another process of the node holds that one."""
 
 import os
+import signal
 import unittest
 
+from cedarmill.net.upgrade import call_id_locks
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
 from tests.net.test_client_cancellation import RawClientCase, raw
 from tests.net.test_upgrade import InheritedSocketCase
@@ -11,7 +13,7 @@
 from tests.support.system_call_faults import Fault
 
 CALL_ID = "0123456789abcdef"
-SECOND_ID = {"X-Call-Id": CALL_ID}
+OPEN_ID_HEADERS = {"X-Call-Id": CALL_ID}
 
 
 class TwoProcessesCase(InheritedSocketCase, FaultyNodeCase):
@@ -25,11 +27,6 @@
         self.addCleanup(self.end_old)
         self.old_session = self.ready_client()
 
-    def end_old(self) -> None:
-        if self.old.poll() is None:
-            self.old.kill()
-        self.old.communicate()
-
     def ready_client(self) -> Client:
         """Return a client whose session is accepted."""
         client = self.client()
@@ -40,20 +37,20 @@
     def start_new_process(self) -> Client:
         """Start the new process and return a client whose session it has accepted."""
         self.start_successor()
-        os.kill(self.old.pid, 19)  # SIGSTOP: the new process accepts.
+        self.old.send_signal(signal.SIGSTOP)  # The new process accepts.
         try:
             return self.ready_client()
         finally:
-            os.kill(self.old.pid, 18)  # SIGCONT
+            self.old.send_signal(signal.SIGCONT)
 
     def open_request(self, session: Client) -> ReceivedRequest:
         """Send a request with CALL_ID and return it as the executor receives it."""
-        session.ask("issue", **SECOND_ID)
+        session.ask("issue", **OPEN_ID_HEADERS)
         return self.executors[0].next_request()
 
     def check_rejected(self, session: Client, status: int = 409) -> None:
         """Check that a request with CALL_ID gets this status and does not reach the executor."""
-        self.assertEqual(session.ask("issue", **SECOND_ID).answer()[0], status)
+        self.assertEqual(session.ask("issue", **OPEN_ID_HEADERS).answer()[0], status)
         self.assertTrue(self.executors[0].received.empty())
 
 
@@ -150,7 +147,7 @@
 
     def test_a_queued_request_with_an_id_that_was_open_when_it_was_read_is_rejected(self):
         """Guards against a look-up at the request's turn only, when the first client has its answer."""
-        usual = self.client().ask("issue", **SECOND_ID)
+        usual = self.client().ask("issue", **OPEN_ID_HEADERS)
         received = self.next_request()
         sock = self.raw_client()
         duplicate = raw(1, "issue").replace(b"raw1", CALL_ID.encode())
@@ -171,8 +168,6 @@
 
 class Locks(unittest.TestCase):
     def test_ids_have_different_offsets(self):
-        from cedarmill.net.upgrade import call_id_locks
-
         ids = [b"%016x" % number for number in range(20_000)] + [b"a" * length for length in range(1, 257)]
         offsets = {call_id_locks._offset(call_id) for call_id in ids}
         self.assertEqual(len(offsets), len(ids))
--- a/tests/net/test_sibling_faults.py
+++ b/tests/net/test_sibling_faults.py
@@ -54,11 +54,6 @@
         self.old = self.process
         self.addCleanup(self.end_old)
 
-    def end_old(self) -> None:
-        if self.old.poll() is None:
-            self.old.kill()
-        self.old.communicate()
-
     def start_sibling(self) -> None:
         """Start the new process, and wait until it counts the old one."""
         self.start_successor()
--- a/tests/net/test_upgrade.py
+++ b/tests/net/test_upgrade.py
@@ -31,6 +31,12 @@
         self.environment = {"LB_SOCKET_FD": str(self.listening_socket.fileno())}
         super().setUp()
 
+    def end_old(self) -> None:
+        """Kill the old process, which the test has kept as `self.old`, if it still runs."""
+        if self.old.poll() is None:
+            self.old.kill()
+        self.old.communicate()
+
     def start_successor(self) -> None:
         """Start another process of the node while the current one still serves."""
         self.log.clear()
@@ -86,11 +92,6 @@
         self.start_successor()
         self.new_admin_port = self.admin_port()
 
-    def end_old(self) -> None:
-        if self.old.poll() is None:
-            self.old.kill()
-        self.old.communicate()
-
     def wait_process_log(self, process, words: str) -> None:
         """Read the log of `process` up to a line that contains `words`."""
         while words not in (line := process.stderr.readline()):
