--- a/review/bench2.py
+++ b/review/bench2.py
@@ -271,7 +271,7 @@
         self.handle, self.zone, self.slots = handle, zone, slots
         self.running = 0
         self.jobs: list[Job] = []
-        self._lock = threading.Lock()
+        self.lock = threading.Lock()
         super().__init__(record, name)
 
     def entry(self, **changes: Any) -> dict[str, Any]:
@@ -296,14 +296,14 @@
                 self._send_load(connection)
                 continue
             job = Job(self, connection, headers, body)
-            with self._lock:
+            with self.lock:
                 self.running += 1
                 self.jobs.append(job)
             self.record.add(self.name, f"job {job.id}: last byte received, {headers.get('x-call-class')}")
             try:
                 self.handle(job)
             finally:
-                with self._lock:
+                with self.lock:
                     self.running -= 1
 
     def _send_load(self, connection: Connection) -> None:
