--- a/review/bench2.py
+++ b/review/bench2.py
@@ -26,6 +26,8 @@
 ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+MAX_SECONDS = 110  # of a whole case
+started: list[subprocess.Popen[bytes]] = []  # processes of the program, which the case ends
 CLASSES = [
     {
         "name": "pin-confirm",
@@ -377,6 +379,7 @@
                 stdout=log,
                 stderr=log,
             )
+        started.append(self.process)
         self.record.add("platform", "node started")
 
     def wait_ready(self, timeout_s: float = 15) -> None:
@@ -497,9 +500,27 @@
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
+def _give_up(record: Record) -> None:
+    """End a case that takes too long."""
+    for process in started:
+        process.kill()
+    record.add("verdict", f"the case could not run: over {MAX_SECONDS} s")
+    record.save()
+    os._exit(NOT_RUN)
+
+
+def _on_signal(number: int, frame: object) -> None:
+    raise CannotRun(f"ended by signal {number}")
+
+
 def play(file: str, case: Callable[[Record], int]) -> None:
     """Play a case, write its record and exit with its verdict."""
     record, verdict = Record(Path(file).resolve().parent), NOT_RUN
+    signal.signal(signal.SIGTERM, _on_signal)
+    signal.signal(signal.SIGINT, _on_signal)
+    watchdog = threading.Timer(MAX_SECONDS, _give_up, [record])
+    watchdog.daemon = True
+    watchdog.start()
     record.add("case", "with the disruption" if TROUBLE else "without the disruption")
     try:
         verdict = case(record)
@@ -507,6 +528,10 @@
         record.add("case", f"cannot run: {error}")
     except Exception:
         record.add("case", traceback.format_exc())
+    for process in started:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
     names = {HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "the case could not run"}
     record.add("verdict", names[verdict])
     record.save()
