--- a/cedarmill/net/clients/connection.py
+++ b/cedarmill/net/clients/connection.py
@@ -168,6 +168,24 @@
         if paused:
             self.unread_since = self.unread_since or self.driver.now()
 
+    # Operations that the server and the transport request.
+
+    def pause_writing(self) -> None:
+        """Send no more responses until the client reads those already written."""
+        self.lifecycle.step(self.driver.now(), SessionEvent.WRITING_BLOCKED)
+
+    def end_if_idle(self, for_room: bool = False) -> None:
+        """Close the connection if it is idle; `for_room`: a new client waits for a free slot."""
+        self.handle(SessionEvent.EVICT_IDLE if for_room else SessionEvent.END_IF_IDLE)
+
+    def make_room(self) -> bool:
+        """Close unless a request is complete or still arriving; return whether the connection closes."""
+        self.handle(SessionEvent.EVICTION_REQUESTED)
+        if self.lifecycle.is_open:
+            return False
+        self.step(SessionEvent.EVICTION_REQUESTED)  # In a closing connection, this shortens the deadline.
+        return True
+
     # Connection status.
 
     def client_has_left(self) -> bool | None:
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -69,10 +69,6 @@
         self.handle(SessionEvent.CLIENT_ENDED_SENDING)
         return self.lifecycle.is_open
 
-    def pause_writing(self) -> None:
-        """Send no more responses until the client reads those already written."""
-        self.lifecycle.step(self.driver.now(), SessionEvent.WRITING_BLOCKED)
-
     @guarded_callback
     def resume_writing(self) -> None:
         """Serve queued requests again."""
@@ -156,18 +152,6 @@
             log_event("defect", True, what="the end of a session")
             self.drop()
 
-    def end_if_idle(self, for_room: bool = False) -> None:
-        """Close the session if it is idle; `for_room`: a new client waits for a free slot."""
-        self.handle(SessionEvent.EVICT_IDLE if for_room else SessionEvent.END_IF_IDLE)
-
-    def make_room(self) -> bool:
-        """Close unless a request is complete or still arriving; return whether the session closes."""
-        self.handle(SessionEvent.EVICTION_REQUESTED)
-        if self.lifecycle.is_open:
-            return False
-        self.step(SessionEvent.EVICTION_REQUESTED)  # In a closing session, this shortens the deadline.
-        return True
-
     def answer_before_kill(self) -> None:
         """Answer all pending requests now, because the process may be killed soon."""
         may_have_run = self.request is not None and self.server.dispatch.may_have_run(self.request)
