Reject a request that was sent while its id was open and is read after the answer

Callers saw: a single_shot request ran twice.

Cause: ids were known only while their requests were open, and a request is compared with them when it is read, which may be long after it was sent. Three more ways to wait had the same cause: the accept backlog, the turn of the loop that ends the first request (a node held up for 0.1 s finds the executor's answer and the second request together), and a request whose last byte comes after the answer.

The log did not tell such a request; call-id-was-open says how long it waited.

Change: the ids of ended requests are kept for the longest deadline, 4,096 at most; a request is rejected if its id was open at the earliest time at which it may have been sent. One sent before the longest deadline has no time left and is never forwarded. An id closes after the loop has read what waited when its request ended (EventLoopDriver.call_after_reads). Beyond the 4,096 ids, a request that has waited gets 503, which is harmless. A request that has not waited is served as before.

--- /dev/null
+++ b/cedarmill/net/clients/closed_ids.py
@@ -0,0 +1,47 @@
+"""Ids of requests that ended a short time ago, for requests that were sent before and are read only now.
+
+A request may be read long after it was sent: it waits in the accept backlog, behind paused reading, or for
+its own last bytes. If its id was open at that time, it is a duplicate, although the id is closed by now.
+"""
+
+from collections import OrderedDict
+from enum import Enum, auto
+
+MAX_CLOSED_IDS = 4096  # about 0.6 MB with ids of 16 characters
+
+
+class WasOpen(Enum):
+    """Whether an id was open at a time in the past."""
+
+    YES = auto()
+    NO = auto()
+    UNKNOWN = auto()
+
+
+class ClosedIds:
+    """The ids that were closed within `retention_us`, at most MAX_CLOSED_IDS of them."""
+
+    def __init__(self, retention_us: int) -> None:
+        """`retention_us`: no request is forwarded that was sent longer ago than this."""
+        self._retention_us = retention_us
+        self._closed_at: OrderedDict[bytes, int] = OrderedDict()  # us by id, earliest first
+        self._forgotten_until = -1  # us; ids closed by then may have been removed too early
+
+    def add(self, call_id: bytes, now: int) -> None:
+        """Record that an id was closed at `now` (us), which never decreases."""
+        self._closed_at[call_id] = now
+        self._closed_at.move_to_end(call_id)
+        while self._earliest() < now - self._retention_us:
+            self._closed_at.popitem(last=False)
+        if len(self._closed_at) > MAX_CLOSED_IDS:
+            self._forgotten_until = self._closed_at.popitem(last=False)[1]
+
+    def _earliest(self) -> int:
+        return next(iter(self._closed_at.values()))
+
+    def was_open_at(self, call_id: bytes, time: int) -> WasOpen:
+        """Return whether an id that is closed now was open at `time` (us) or later."""
+        closed_at = self._closed_at.get(call_id)
+        if closed_at is not None:
+            return WasOpen.YES if time <= closed_at else WasOpen.NO
+        return WasOpen.UNKNOWN if time <= self._forgotten_until else WasOpen.NO
--- a/cedarmill/net/clients/connection.py
+++ b/cedarmill/net/clients/connection.py
@@ -28,11 +28,19 @@
     transport: asyncio.Transport  # Set by `connection_made`.
 
     def __init__(
-        self, driver: EventLoopDriver, is_half_close_disconnect: bool, unread_since: int | None
+        self,
+        driver: EventLoopDriver,
+        is_half_close_disconnect: bool,
+        unread_since: int | None,
+        sent_since: int | None,
     ) -> None:
-        """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us)."""
+        """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us).
+
+        `sent_since`: the same, also if the backlog was only being accepted; set if `unread_since` is.
+        Both are set as well while reading is paused.
+        """
         self.driver = driver
-        self.unread_since = unread_since  # Also set while reading is paused.
+        self.unread_since, self.sent_since = unread_since, sent_since
         self.created_at = driver.now()
         self.lifecycle = SessionLifecycle(
             self.created_at, limits.TIMES, is_half_close_disconnect=is_half_close_disconnect
@@ -167,6 +175,7 @@
         self.handle(SessionEvent.READING_PAUSED if paused else SessionEvent.READING_RESUMED)
         if paused:
             self.unread_since = self.unread_since or self.driver.now()
+            self.sent_since = self.sent_since or self.unread_since
 
     # Operations that the server and the transport request.
 
@@ -205,6 +214,12 @@
         """Return whether the socket has unread input; a delayed event loop runs timers before it reads."""
         return has_unread_bytes(self.transport)
 
+    def forget_waiting_if_read(self) -> None:
+        """Let the times of later requests count from their first byte if no input waits any more."""
+        if self.sent_since is None or self.lifecycle.is_reading_paused or self.has_unread_input():
+            return
+        self.unread_since = self.sent_since = None
+
     def drop(self) -> None:
         """Abort the connection, discard unsent output and withdraw the open request."""
         self.handle(SessionEvent.CLIENT_LEFT)
--- a/cedarmill/net/clients/open_requests.py
+++ b/cedarmill/net/clients/open_requests.py
@@ -1,13 +1,16 @@
 """The ids of open requests: a request with the id of an open one is rejected, whichever process holds it.
 
 An executor may run a request once for each time it gets it. Two requests with one id would be two attempts
-that no retry rule knows of.
+that no retry rule knows of. A request that was sent while another with its id was open is rejected too if it
+is read only after that one has ended.
 """
 
 from typing import TYPE_CHECKING
 
 from cedarmill.log import log_event
+from cedarmill.net.clients.closed_ids import ClosedIds, WasOpen
 from cedarmill.net.clients.request import ClientRequestError
+from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
 
 if TYPE_CHECKING:
@@ -17,8 +20,12 @@
 class OpenRequests:
     """The sessions of this process's open requests by X-Call-Id, and the locks shared with its siblings."""
 
-    def __init__(self) -> None:
+    def __init__(self, driver: EventLoopDriver, longest_deadline_us: int) -> None:
+        self._driver = driver
         self._sessions: dict[bytes, ClientSession] = {}
+        # Ids of requests that ended in this turn of the loop: input that is read in it was sent before.
+        self._closing: set[bytes] = set()
+        self._closed_ids = ClosedIds(longest_deadline_us)
         self._locks: CallIdLocks | None = None  # None if no second process of the node can be started
         self._sibling_count = 0
 
@@ -42,10 +49,12 @@
         """Return the session of an open request of this process."""
         return self._sessions.get(call_id)
 
-    def add(self, call_id: bytes, session: "ClientSession") -> None:
-        """Open a request; raises ClientRequestError if its id is open, or if that is not known."""
-        if call_id in self._sessions:
-            raise _id_is_open("this process")
+    def add(self, call_id: bytes, session: "ClientSession", sent_since: int) -> None:
+        """Open a request; raises ClientRequestError if its id was open after `sent_since` (us).
+
+        It does so as well if that is not known. `sent_since`: earliest time at which the request was sent.
+        """
+        self._check_own_ids(call_id, sent_since)
         if self._locks is not None:
             self._lock(self._locks, call_id)
         self._sessions[call_id] = session
@@ -57,10 +66,18 @@
         if result is LockResult.UNAVAILABLE and self._sibling_count:
             raise ClientRequestError(503, "refused")  # The sibling may hold the id.
 
-    def check_closed(self, call_id: bytes) -> None:
-        """Raise ClientRequestError if a request with this id is open."""
-        if call_id in self._sessions:
+    def _check_own_ids(self, call_id: bytes, sent_since: int) -> None:
+        if call_id in self._sessions or call_id in self._closing:
             raise _id_is_open("this process")
+        was_open = self._closed_ids.was_open_at(call_id, sent_since)
+        if was_open is WasOpen.YES:
+            raise _id_was_open(self._driver.now() - sent_since)
+        if was_open is WasOpen.UNKNOWN:
+            raise ClientRequestError(503, "refused")
+
+    def check_closed(self, call_id: bytes, sent_since: int) -> None:
+        """Raise ClientRequestError if a request with this id was open after `sent_since` (us)."""
+        self._check_own_ids(call_id, sent_since)
         if self._locks is not None and self._locks.is_held_by_sibling(call_id):
             raise _id_is_open("a sibling process")
 
@@ -71,8 +88,23 @@
         del self._sessions[call_id]
         if self._locks is not None:
             self._locks.unlock(call_id)
+        if not self._closing:
+            self._driver.call_after_reads(self._record_closed)
+        self._closing.add(call_id)
+
+    def _record_closed(self) -> None:
+        """Record the ids that were closed in the turn of the loop that has ended."""
+        now = self._driver.now()
+        for call_id in self._closing:
+            self._closed_ids.add(call_id, now)
+        self._closing.clear()
 
 
 def _id_is_open(holder: str) -> ClientRequestError:
     log_event("call-id-open", holder=holder)
     return ClientRequestError(409, "a req with this x-call-id is open")
+
+
+def _id_was_open(wait_us: int) -> ClientRequestError:
+    log_event("call-id-was-open", wait_ms=wait_us // 1000)
+    return ClientRequestError(409, "a req with this x-call-id was open")
--- a/cedarmill/net/clients/routes.py
+++ b/cedarmill/net/clients/routes.py
@@ -63,7 +63,7 @@
     call_id = message.headers.get(b"x-call-id")
     if call_id is not None and message.fault is None:
         try:
-            server.open_requests.check_closed(call_id)
+            server.open_requests.check_closed(call_id, message.sent_since)
         except ClientRequestError as fault:
             message.fault = fault
 
@@ -99,7 +99,7 @@
     if has_left is None:
         server.record_valid_request(session)
         raise ClientRequestError(503, "refused")
-    server.open_requests.add(call_id, session)
+    server.open_requests.add(call_id, session, message.sent_since)
     server.record_valid_request(session)
     session.open_request(now, call_id, due, arrival)
 
--- a/cedarmill/net/clients/server.py
+++ b/cedarmill/net/clients/server.py
@@ -55,7 +55,7 @@
         self.sessions: set[ClientSession] = set()
         self.unproven_sessions: dict[ClientSession, None] = {}  # Oldest session first.
         self.idle_sessions: dict[ClientSession, None] = {}  # Longest idle session first.
-        self.open_requests = OpenRequests()
+        self.open_requests = OpenRequests(driver, max(self.deadlines))
         self.is_draining = self.closing = False
         self.is_draining_clients = False  # Connections close after their next response.
         # Time by which all requests must be answered (us); 0 before the shutdown.
@@ -70,7 +70,7 @@
         self._acceptor = Acceptor(
             self.driver,
             sock,
-            lambda: ClientSession(self, self._acceptor.backlog_waiting_since),
+            self._new_session,
             listener="clients",
             batch=ACCEPT_BATCH,
             can_accept=self._can_accept,
@@ -78,6 +78,9 @@
         self.port = self._acceptor.port
         self._acceptor.resume()
 
+    def _new_session(self) -> ClientSession:
+        return ClientSession(self, self._acceptor.backlog_waiting_since, self._acceptor.backlog_seen_at)
+
     def is_ready(self) -> bool:
         """Return whether the node can serve requests."""
         return bool(self.dispatch.ready_executors) and not self.is_draining
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -33,9 +33,11 @@
 class ClientSession(ClientConnection):
     """One client connection: asyncio protocol, request sink and receiver of results from the dispatch."""
 
-    def __init__(self, server: "ClientServer", unread_since: int | None = None) -> None:
-        """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us)."""
-        super().__init__(server.driver, server.options.half_close == "leaves", unread_since)
+    def __init__(
+        self, server: "ClientServer", unread_since: int | None = None, sent_since: int | None = None
+    ) -> None:
+        """`unread_since` and `sent_since` (us): see `ClientConnection`."""
+        super().__init__(server.driver, server.options.half_close == "leaves", unread_since, sent_since)
         self.server = server
         self.reader = RequestReader(self, server.used_headers)
         self.current_message: ClientRequest | None = None
@@ -49,6 +51,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the session and start its timers."""
         self.transport, self.connected = cast(asyncio.Transport, transport), True
+        self.forget_waiting_if_read()
         self.server.add(self)
         self.set_timers()
 
@@ -86,8 +89,7 @@
         else:
             self.discarded_bytes += len(data)
             self.set_reading_paused(self.discarded_bytes > limits.MAX_DISCARDED_BYTES)
-        if self.unread_since is not None and not lifecycle.is_reading_paused and not self.has_unread_input():
-            self.unread_since = None  # All waiting input has been read.
+        self.forget_waiting_if_read()
 
     # Callbacks of the request reader.
 
--- a/tests/net/test_open_call_ids.py
+++ b/tests/net/test_open_call_ids.py
@@ -2,8 +2,12 @@
 
 import os
 import signal
+import socket
 import unittest
+from typing import BinaryIO
 
+from cedarmill.net.clients.closed_ids import MAX_CLOSED_IDS, ClosedIds, WasOpen
+from cedarmill.net.clients.server import ACCEPT_BATCH
 from cedarmill.net.upgrade import call_id_locks
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
 from tests.net.test_client_cancellation import RawClientCase, raw
@@ -16,6 +20,14 @@
 OPEN_ID_HEADERS = {"X-Call-Id": CALL_ID}
 
 
+def read_status(stream: BinaryIO) -> int:
+    """Read up to the head of the next answer and return its status."""
+    while b"HTTP/1.1 " not in (line := stream.readline()):  # It may follow a body on the same line.
+        if not line:
+            raise AssertionError("the connection has ended")
+    return int(line.partition(b"HTTP/1.1 ")[2].split()[0])
+
+
 class TwoProcessesCase(InheritedSocketCase, FaultyNodeCase):
     """An old process with one session and a new one, which accepts all later sessions."""
 
@@ -166,6 +178,127 @@
         self.assertEqual(statuses, [200, 409, 200])
 
 
+class ReadAfterTheAnswer(RawClientCase):
+    """Guards against an id that is compared only when it is read, so that a request runs twice: review/6."""
+
+    executor_count = 2
+    duplicate = raw(1, "issue").replace(b"raw1", CALL_ID.encode())
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.usual = self.client().ask("issue", **OPEN_ID_HEADERS)
+        self.received = self.next_request()
+
+    def finish_usual(self) -> None:
+        """Let the open request end, which the node may answer later."""
+        self.received.done()
+        self.assertEqual(self.received.headers["X-Call-Id"], CALL_ID)
+
+    def check_statuses(self, sock: socket.socket, statuses: list[int]) -> None:
+        """Check the answers to the usual client and to `sock`, and that nothing reaches an executor."""
+        self.assertEqual(self.usual.answer()[0], 200)
+        stream = sock.makefile("rb")
+        self.assertEqual([read_status(stream) for _ in statuses], statuses)
+        self.assertEqual([executor.received.qsize() for executor in self.executors], [0, 0])
+
+    def pause(self) -> None:
+        """Hold the node up until `resume`."""
+        self.process.send_signal(signal.SIGSTOP)
+        self.wait_for(self._is_stopped)
+
+    def resume(self) -> None:
+        self.process.send_signal(signal.SIGCONT)
+
+    def test_behind_paused_reading(self):
+        """The node reads no further while requests of the same client wait."""
+        sock = self.raw_client()
+        sock.sendall(raw(2) + raw(3))
+        second = self.next_request()
+        sock.sendall(self.duplicate)
+        self.finish_usual()
+        self.assertEqual(self.usual.sock.recv(1, socket.MSG_PEEK), b"H")  # It is answered.
+        second.done()
+        self.next_request().done()
+        self.check_statuses(sock, [200, 200, 409])
+        self.wait_log("its x-call-id was open then")
+
+    def test_in_the_turn_of_the_loop_that_ended_it(self):
+        """The node is held up while the executor answers and the duplicate comes."""
+        sock = self.raw_client()
+        sock.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual(read_status(sock.makefile("rb")), 200)
+        self.wait_until_read()  # Else the system may still report this socket first.
+        self.pause()
+        self.finish_usual()
+        sock.sendall(self.duplicate)
+        self.resume()
+        self.check_statuses(sock, [409])
+
+    def test_in_the_accept_backlog(self):
+        """The connection comes while the node is held up, behind more than are accepted in one turn."""
+        self.pause()
+        self.finish_usual()
+        silent = [self.raw_client() for _ in range(ACCEPT_BATCH + 1)]
+        sock = self.raw_client()
+        sock.sendall(self.duplicate)
+        self.resume()
+        self.check_statuses(sock, [409])
+        self.assertEqual(len(silent), ACCEPT_BATCH + 1)
+
+    def test_begun_before_the_answer(self):
+        """The last byte comes after the answer, the id while the other request was open."""
+        sock = self.raw_client()
+        sock.sendall(raw(2))
+        self.next_request().done()
+        self.assertEqual(read_status(sock.makefile("rb")), 200)
+        sock.sendall(self.duplicate[:-1])
+        self.wait_until_read()
+        self.finish_usual()
+        self.assertEqual(self.usual.sock.recv(1, socket.MSG_PEEK), b"H")
+        sock.sendall(self.duplicate[-1:])
+        self.check_statuses(sock, [409])
+
+    def wait_until_read(self) -> None:
+        """Return once the node has read all that was sent before."""
+        client = self.client()
+        client.request("GET", "/ready")
+        self.assertEqual(client.answer()[0], 200)
+
+
+class Closed(unittest.TestCase):
+    """The ids of requests that ended a short time ago."""
+
+    def setUp(self) -> None:
+        self.ids = ClosedIds(12_000_000)
+
+    def test_an_id_was_open_until_it_was_closed(self):
+        self.ids.add(b"a", 5_000_000)
+        self.assertIs(self.ids.was_open_at(b"a", 5_000_000), WasOpen.YES)
+        self.assertIs(self.ids.was_open_at(b"a", 5_000_001), WasOpen.NO)
+        self.assertIs(self.ids.was_open_at(b"b", 0), WasOpen.NO)
+
+    def test_an_id_that_is_closed_again_counts_from_then(self):
+        for now in (1, 3):
+            self.ids.add(b"a", now)
+        self.assertIs(self.ids.was_open_at(b"a", 2), WasOpen.YES)
+
+    def test_ids_are_kept_for_the_longest_deadline(self):
+        self.ids.add(b"a", 1)
+        self.ids.add(b"b", 12_000_001)
+        self.assertIs(self.ids.was_open_at(b"a", 1), WasOpen.YES)
+        self.ids.add(b"c", 12_000_002)
+        self.assertIs(self.ids.was_open_at(b"a", 1), WasOpen.NO)
+        self.assertIs(self.ids.was_open_at(b"b", 1), WasOpen.YES)
+
+    def test_what_was_forgotten_early_is_unknown(self):
+        """Guards against memory that grows with the rate, and against a duplicate that is served for it."""
+        for number in range(MAX_CLOSED_IDS + 2):
+            self.ids.add(b"%d" % number, number)
+        self.assertEqual(len(self.ids._closed_at), MAX_CLOSED_IDS)
+        self.assertIs(self.ids.was_open_at(b"0", 1), WasOpen.UNKNOWN)
+        self.assertIs(self.ids.was_open_at(b"0", 2), WasOpen.NO)
+
+
 class Locks(unittest.TestCase):
     def test_ids_have_different_offsets(self):
         ids = [b"%016x" % number for number in range(20_000)] + [b"a" * length for length in range(1, 257)]
