Let a request that waits behind another hold its id from when it was read

Callers would have seen an id run twice: a client sends two requests at once, and while the second waits, another client sends its id. That one was forwarded at once, the queued one at its turn.

Cause: a request took its id when it was served; while it waited it was only compared.

Change: a request that has to wait opens its id when it has been read, with the lock shared with the node's other process, and gives it back where it is answered or its client has left. A request knows the id that it holds, so a session needs no copy. Why it works: from the last byte read to the answer there is no time at which the id is free.

--- a/cedarmill/net/clients/open_requests.py
+++ b/cedarmill/net/clients/open_requests.py
@@ -9,7 +9,7 @@
 
 from cedarmill.log import log_event
 from cedarmill.net.clients.closed_ids import ClosedIds, WasOpen
-from cedarmill.net.clients.request import ClientRequestError
+from cedarmill.net.clients.request import ClientRequest, ClientRequestError
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
 
@@ -18,7 +18,10 @@
 
 
 class OpenRequests:
-    """The sessions of this process's open requests by X-Call-Id, and the locks shared with its siblings."""
+    """The sessions of this process's open requests by X-Call-Id, and the locks shared with its siblings.
+
+    A request is open from when it was read, also while it waits behind others of its client, until it ends.
+    """
 
     def __init__(self, driver: EventLoopDriver, longest_deadline_us: int) -> None:
         self._driver = driver
@@ -49,15 +52,16 @@
         """Return the session of an open request of this process."""
         return self._sessions.get(call_id)
 
-    def add(self, call_id: bytes, session: "ClientSession", sent_since: int) -> None:
-        """Open a request; raises ClientRequestError if its id was open after `sent_since` (us).
+    def add(self, call_id: bytes, session: "ClientSession", message: ClientRequest) -> None:
+        """Open a request; raises ClientRequestError if its id was open when it was sent or is open now.
 
-        It does so as well if that is not known. `sent_since`: earliest time at which the request was sent.
+        It does so as well if that is not known.
         """
-        self._check_own_ids(call_id, sent_since)
+        self._check_own_ids(call_id, message.sent_since)
         if self._locks is not None:
             self._lock(self._locks, call_id)
         self._sessions[call_id] = session
+        message.open_id = call_id
 
     def _lock(self, locks: CallIdLocks, call_id: bytes) -> None:
         result = locks.lock(call_id)
@@ -75,15 +79,10 @@
         if was_open is WasOpen.UNKNOWN:
             raise ClientRequestError(503, "refused")
 
-    def check_closed(self, call_id: bytes, sent_since: int) -> None:
-        """Raise ClientRequestError if a request with this id was open after `sent_since` (us)."""
-        self._check_own_ids(call_id, sent_since)
-        if self._locks is not None and self._locks.is_held_by_sibling(call_id):
-            raise _id_is_open("a sibling process")
-
-    def remove(self, call_id: bytes, session: "ClientSession") -> None:
-        """Close the session's request; no effect if the session has no open request with this id."""
-        if self._sessions.get(call_id) is not session:
+    def remove(self, message: ClientRequest) -> None:
+        """Close a request; no effect if it is not open."""
+        call_id, message.open_id = message.open_id, None
+        if call_id is None:
             return
         del self._sessions[call_id]
         if self._locks is not None:
--- a/cedarmill/net/clients/request.py
+++ b/cedarmill/net/clients/request.py
@@ -24,6 +24,7 @@
         "is_reading_head",
         "keep_alive",
         "method",
+        "open_id",
         "sent_since",
         "target",
     )
@@ -43,6 +44,7 @@
         self.body = bytearray()
         self.is_reading_head = self.keep_alive = True
         self.fault: ClientRequestError | None = None
+        self.open_id: bytes | None = None  # the id under which it is among the open requests
 
     @property
     def held_bytes(self) -> int:
--- a/cedarmill/net/clients/routes.py
+++ b/cedarmill/net/clients/routes.py
@@ -50,6 +50,7 @@
     if (
         other is None
         or other.current_message is None
+        or other.current_message.open_id != call_id  # The request is queued.
         or other.current_message.headers.get(b"x-caller") != caller
     ):
         raise ClientRequestError(404, "no such call is open")
@@ -58,14 +59,15 @@
     session.answer(200, b"recalled\n")
 
 
-def check_queued(server: "ClientServer", message: ClientRequest) -> None:
-    """Reject a request that has to wait if its id is open now, though it may not be when it is served."""
-    call_id = message.headers.get(b"x-call-id")
-    if call_id is not None and message.fault is None:
-        try:
-            server.open_requests.check_closed(call_id, message.sent_since)
-        except ClientRequestError as fault:
-            message.fault = fault
+def open_queued(session: "ClientSession", message: ClientRequest) -> None:
+    """Open a request that has to wait behind others, so that its id is its own, or reject it."""
+    call_id = message.headers.get(b"x-call-id", b"")
+    if message.fault is not None or not CALL_ID.fullmatch(call_id):
+        return  # It is answered with an error at its turn.
+    try:
+        session.server.open_requests.add(call_id, session, message)
+    except ClientRequestError as fault:
+        message.fault = fault
 
 
 def _dispatch(session: "ClientSession", message: ClientRequest, path: bytes) -> None:
@@ -99,9 +101,10 @@
     if has_left is None:
         server.record_valid_request(session)
         raise ClientRequestError(503, "refused")
-    server.open_requests.add(call_id, session, message.sent_since)
+    if message.open_id is None:
+        server.open_requests.add(call_id, session, message)
     server.record_valid_request(session)
-    session.open_request(now, call_id, due, arrival)
+    session.open_request(now, due, arrival)
 
 
 def _request_key(path: bytes) -> int:
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -42,7 +42,6 @@
         self.reader = RequestReader(self, server.used_headers)
         self.current_message: ClientRequest | None = None
         self.request: Request | None = None  # The dispatched request for `current_message`.
-        self.call_id = b""  # The X-Call-Id of the open request.
         self.discarded_bytes = 0  # Input after the last response.
 
     # Callbacks of the transport.
@@ -104,7 +103,7 @@
         lifecycle, requests = self.lifecycle, self.reader.requests
         lifecycle.step(lifecycle.last_byte_at, _REQUEST_READ)
         if self.current_message is not None or len(requests) > 1 or lifecycle.is_write_blocked:
-            routes.check_queued(self.server, requests[-1])
+            routes.open_queued(self, requests[-1])
 
     def on_continue_expected(self) -> None:
         """Send `100 Continue`, unless an earlier request is still unanswered."""
@@ -123,8 +122,11 @@
 
     def withdraw(self) -> None:
         """Withdraw the open request and discard the queued ones, because the client has disconnected."""
-        self.reader.requests.clear()
         self._withdraw_request()
+        for message in (*self.reader.requests, self.current_message):
+            if message is not None:
+                self.server.open_requests.remove(message)
+        self.reader.requests.clear()
 
     def answer_timeout(self) -> None:
         """Answer the incomplete request with 408, after the responses that precede it."""
@@ -224,26 +226,19 @@
             self.answer(fault.status, str(fault).encode() + b"\n")
         except Exception:
             log_event("defect", True, what="callback on a request")
-            self._forget_request()
+            self.request = None
             self.answer(500, b"internal error\n")
 
-    def open_request(self, now: int, call_id: bytes, due: int, arrival: api.RequestArrived) -> None:
+    def open_request(self, now: int, due: int, arrival: api.RequestArrived) -> None:
         """Dispatch the current request, which is among the open ones and is to be answered by `due` (us)."""
-        self.call_id = call_id
         request = self.server.dispatch.arrive(now, self, self.current_message, due, arrival)
         if not request.answered:
             self.request = request
 
-    def _forget_request(self) -> None:
-        """Remove the references to the open request."""
-        self.request = None
-        self.server.open_requests.remove(self.call_id, self)
-
     def _withdraw_request(self) -> None:
         """Withdraw the open request, if any, so that no further attempt starts."""
-        request = self.request
+        request, self.request = self.request, None
         if request is not None:
-            self._forget_request()
             self.server.dispatch.withdraw(self.driver.now(), request)
 
     def cancel_request(self) -> None:
@@ -268,7 +263,7 @@
         self._send_final_answer(502, b"failed\n")
 
     def _send_final_answer(self, status: int, body: bytes, headers: bytes = b"") -> None:
-        self._forget_request()
+        self.request = None
         self.answer(status, body, headers)
         if self.reader.requests:
             self.serve_queued_requests()
@@ -277,7 +272,10 @@
         """Send the response to the current request; ignored once the session is closing."""
         message, self.current_message = self.current_message, None
         lifecycle, server = self.lifecycle, self.server
-        if message is None or not lifecycle.is_open:
+        if message is None:
+            return
+        server.open_requests.remove(message)
+        if not lifecycle.is_open:
             return
         last = lifecycle.is_last_answer(message.keep_alive, server.closing or server.is_draining_clients)
         if self.send(response.compose(message, status, body, headers, last)):
--- a/tests/net/test_open_call_ids.py
+++ b/tests/net/test_open_call_ids.py
@@ -177,6 +177,31 @@
             statuses += [int(line.split()[1])] if b"HTTP/1.1 " in line else []
         self.assertEqual(statuses, [200, 409, 200])
 
+    def test_the_id_of_a_queued_request_is_its_own(self):
+        """Guards against a bad client that has a queued request's id run before it, so that it runs twice."""
+        sock = self.raw_client()
+        sock.sendall(raw(2) + raw(1, "issue").replace(b"raw1", CALL_ID.encode()))
+        first = self.next_request()
+        self.assertEqual(self.client().ask("issue", **OPEN_ID_HEADERS).answer()[0], 409)
+        first.done()
+        second = self.next_request()
+        self.assertEqual(second.headers["X-Call-Id"], CALL_ID)
+        second.done()
+        stream = sock.makefile("rb")
+        self.assertEqual([read_status(stream) for _ in range(2)], [200, 200])
+        self.client().ask("issue", **OPEN_ID_HEADERS)  # The id is closed again.
+        self.next_request().done()
+
+    def test_the_id_of_a_queued_request_is_closed_when_its_client_leaves(self):
+        sock = self.raw_client()
+        sock.sendall(raw(2) + raw(1, "issue").replace(b"raw1", CALL_ID.encode()))
+        first = self.next_request()
+        sock.close()
+        self.assertTrue(first.connection.ended.wait(WAIT))  # The node cancels the attempt.
+        client = self.client().ask("issue", **OPEN_ID_HEADERS)
+        self.next_request().done()
+        self.assertEqual(client.answer()[0], 200)
+
 
 class ReadAfterTheAnswer(RawClientCase):
     """Guards against an id that is compared only when it is read, so that a request runs twice: review/6."""
