--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -17,7 +17,7 @@
 from cedarmill.net.loop import guarded_callback
 from cedarmill.net.socket_state import TRANSPORT_ERRORS, is_closed_or_unknown
 from cedarmill.net.upstream.answer_reader import AnswerReader
-from cedarmill.net.upstream.exchange import BreakReason, ExchangeEnd
+from cedarmill.net.upstream.exchange_end import MALFORMED_ANSWER, BreakReason, ExchangeEnd
 from cedarmill.net.upstream.request_writer import RequestWriter
 
 if TYPE_CHECKING:
@@ -31,7 +31,6 @@
 DUPLICATE_ANSWER_WINDOW_US = 50_000
 ABORT_RETRY_US = 20_000  # delay before a failed abort of a transport is repeated
 ANSWER_END_TIMEOUT_US = 1_000_000  # time for an HTTP message to end after its final line
-MALFORMED_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_MALFORMED)
 # A connect that fails with one of these lacks a resource of this machine, so the executor is not at fault.
 LOCAL_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -4,15 +4,14 @@
 The sockets are in `net/upstream/connection.py`.
 """
 
-from enum import Enum
-from typing import TYPE_CHECKING, NamedTuple
-
-import msgspec
+from typing import TYPE_CHECKING
 
 from cedarmill.core.requests import Attempt
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
 from cedarmill.log import log_event
+from cedarmill.net.upstream.answer_lines import OUTCOME_BY_FINAL_STATE, decode_line
+from cedarmill.net.upstream.exchange_end import AMBIGUOUS_REJECTION, INCOMPLETE_ANSWER, ExchangeEnd
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.connection import UpstreamConnection
@@ -29,52 +28,6 @@
 )
 
 
-class AttemptLine(msgspec.Struct):
-    """One line of an executor's answer."""
-
-    state: str
-    id: str = ""
-    share: float = 0.0
-    result: msgspec.Raw = msgspec.Raw(b"")
-    load: dict[str, float] | None = None
-
-
-_LINE_DECODER = msgspec.json.Decoder(AttemptLine)
-_OUTCOME_BY_FINAL_STATE = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
-
-
-class BreakReason(Enum):
-    """Why a connection broke under an exchange, in the words of the log."""
-
-    CLOSED_BY_EXECUTOR = "closed by the executor"
-    CONNECTION_FAILED = "reset or failed"
-    INTERNAL_ERROR = "closed by the node: a callback failed"
-    SEND_TIMED_OUT = "closed by the node: the request did not leave in time"
-    ANSWER_END_TIMED_OUT = "closed by the node: an answer did not end in time"
-    IDLE_TIMED_OUT = "closed by the node: idle for too long"
-    ANSWER_MALFORMED = "closed by the node: the answer is malformed"
-    REJECTION_AMBIGUOUS = "closed by the node: a rejection may belong to the request before"
-    ANSWER_INCOMPLETE = "the answer ended without a final state"
-    CONNECT_TIMED_OUT = "not opened in time"
-    CONNECT_FAILED = "not opened"
-
-
-class ExchangeEnd(NamedTuple):
-    """The outcome of an exchange, with the executor's load report and an attempt's result if any.
-
-    `reason` is set if the connection broke before the answer was complete.
-    """
-
-    outcome: Outcome
-    report: api.LoadReport | None = None
-    result: bytes | None = None
-    reason: BreakReason | None = None
-
-
-AMBIGUOUS_REJECTION = ExchangeEnd(Outcome.AMBIGUOUS_FULL, reason=BreakReason.REJECTION_AMBIGUOUS)
-INCOMPLETE_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_INCOMPLETE)
-
-
 def ordered_report(names: tuple[str, ...], load: dict[str, float] | None) -> api.LoadReport | None:
     """Return the load values in the order of the settings, or None unless every value is present."""
     if not names or load is None or not all(name in load for name in names):
@@ -203,18 +156,14 @@
             raise ValueError("answer line is too long")
 
     def _read_line(self, raw: bytes) -> None:
-        line = _LINE_DECODER.decode(raw)
-        if line.id and line.id != self.id:
-            raise ValueError("answer line names another request")
+        line = decode_line(raw, self.id)
         dispatch, now = self.pools.dispatch, self.pools.driver.now()
         if self.pending_end is not None:
             return
         if line.state == "done":
-            text = bytes(line.result)
-            result = msgspec.json.decode(text, type=str).encode() if text[:1] == b'"' else text
-            self.pending_end = ExchangeEnd(Outcome.OK, self.load_report(line.load), result)
-        elif line.state in _OUTCOME_BY_FINAL_STATE:
-            self.pending_end = ExchangeEnd(_OUTCOME_BY_FINAL_STATE[line.state], self.load_report(line.load))
+            self.pending_end = ExchangeEnd(Outcome.OK, self.load_report(line.load), line.result_text())
+        elif line.state in OUTCOME_BY_FINAL_STATE:
+            self.pending_end = ExchangeEnd(OUTCOME_BY_FINAL_STATE[line.state], self.load_report(line.load))
         elif line.state == "started":
             dispatch.attempt_started(now, self.attempt)
         elif line.state == "running":
--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -11,12 +11,8 @@
 from cedarmill.net.discovery.endpoints import Endpoint
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upstream.connection import UpstreamConnection
-from cedarmill.net.upstream.exchange import (
-    AttemptExchange,
-    Exchange,
-    ExchangeEnd,
-    RelayedAttemptExchange,
-)
+from cedarmill.net.upstream.exchange import AttemptExchange, Exchange, RelayedAttemptExchange
+from cedarmill.net.upstream.exchange_end import ExchangeEnd
 from cedarmill.net.upstream.probe_exchange import ProbeExchange
 from cedarmill.values import KindOptions, Options
 
--- a/cedarmill/net/upstream/probe_exchange.py
+++ b/cedarmill/net/upstream/probe_exchange.py
@@ -7,7 +7,8 @@
 from cedarmill.core.requests import Probe
 from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions.interface import Outcome
-from cedarmill.net.upstream.exchange import MAX_LINE_BYTES, Exchange, ExchangeEnd, parse_load_header
+from cedarmill.net.upstream.exchange import MAX_LINE_BYTES, Exchange, parse_load_header
+from cedarmill.net.upstream.exchange_end import ExchangeEnd
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
--- a/cedarmill/net/upstream/request_writer.py
+++ b/cedarmill/net/upstream/request_writer.py
@@ -11,7 +11,7 @@
 from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.socket_state import TRANSPORT_ERRORS
-from cedarmill.net.upstream.exchange import BreakReason, ExchangeEnd
+from cedarmill.net.upstream.exchange_end import BreakReason, ExchangeEnd
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.connection import UpstreamConnection
--- a/tests/net/test_late_answer_end.py
+++ b/tests/net/test_late_answer_end.py
@@ -15,7 +15,8 @@
     IDLE_TIMEOUT_FRACTION,
     UpstreamConnection,
 )
-from cedarmill.net.upstream.exchange import Exchange, ExchangeEnd
+from cedarmill.net.upstream.exchange import Exchange
+from cedarmill.net.upstream.exchange_end import ExchangeEnd
 from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
 from cedarmill.net.upstream.probe_exchange import ProbeExchange
 from cedarmill.values import KindOptions, Options
--- a/tests/net/test_upstream_faults.py
+++ b/tests/net/test_upstream_faults.py
@@ -14,7 +14,8 @@
 from cedarmill.net.config import Address
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upstream.connection import UpstreamConnection
-from cedarmill.net.upstream.exchange import Exchange, ExchangeEnd
+from cedarmill.net.upstream.exchange import Exchange
+from cedarmill.net.upstream.exchange_end import ExchangeEnd
 from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
 from cedarmill.net.upstream.request_writer import (
     LAST_BYTE_DELAY_US,
