Fail an attempt whose last line has no result, or a line that names no request

Cause: the form of a line had defaults for fields that the protocol requires. A missing result was an empty one; a missing id counted as the request's own. By the second, returned without an id proved that a request never ran, and a single_shot request was sent again.

The log had nothing; attempt-broken now names what is missing.

Change: done without a result, or with null, and a line without an id are malformed answers. The attempt ends as one that may have run, which decides on retries as for any reset.

Five tests had stand-ins that answered without an id, which the protocol does not allow: three answered at the first byte, before they knew it. They answer when the request has come, or name it; all checks are as they were.

--- a/cedarmill/net/upstream/answer_lines.py
+++ b/cedarmill/net/upstream/answer_lines.py
@@ -1,25 +1,32 @@
-"""The JSON lines of an executor's answer to an attempt."""
+"""The JSON lines of an executor's answer to an attempt.
+
+A field that the protocol requires has no default here that could be taken for the executor's word.
+"""
 
 import msgspec
 
 from cedarmill.decisions.interface import Outcome
+from cedarmill.net.upstream.exchange_end import BreakReason, MalformedAnswer
 
 # Final states of an attempt other than "done".
 OUTCOME_BY_FINAL_STATE = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
+NO_RESULT = b"null"
 
 
 class AttemptLine(msgspec.Struct):
     """One line of an executor's answer."""
 
     state: str
-    id: str = ""
+    id: str | None = None
     share: float = 0.0
-    result: msgspec.Raw = msgspec.Raw(b"")
+    result: msgspec.Raw = msgspec.Raw(NO_RESULT)
     load: dict[str, float] | None = None
 
     def result_text(self) -> bytes:
-        """Return the result as the body of the client's answer."""
+        """Return the result as the body of the client's answer; raise MalformedAnswer if there is none."""
         text = bytes(self.result)
+        if text == NO_RESULT:
+            raise MalformedAnswer(BreakReason.RESULT_MISSING)
         return msgspec.json.decode(text, type=str).encode() if text[:1] == b'"' else text
 
 
@@ -29,6 +36,8 @@
 def decode_line(text: bytes, call_id: str) -> AttemptLine:
     """Decode a line of the answer to the request `call_id`; raise ValueError for any other line."""
     line = _LINE_DECODER.decode(text)
-    if line.id and line.id != call_id:
+    if line.id is None:
+        raise MalformedAnswer(BreakReason.ID_MISSING)
+    if line.id != call_id:
         raise ValueError("answer line names another request")
     return line
--- a/cedarmill/net/upstream/answer_reader.py
+++ b/cedarmill/net/upstream/answer_reader.py
@@ -5,6 +5,7 @@
 import httptools
 
 from cedarmill.net.header_sections import HeaderSectionMeter
+from cedarmill.net.upstream.exchange_end import MALFORMED_ANSWER, ExchangeEnd, MalformedAnswer
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.exchange import Exchange
@@ -28,15 +29,18 @@
         """Assign the next answer to an exchange."""
         self.exchange, self.complete, self._answer_bytes = exchange, False, 0
 
-    def feed(self, data: bytes) -> bool:
-        """Parse received bytes; return False for malformed data and for an answer over its limits."""
+    def feed(self, data: bytes) -> ExchangeEnd | None:
+        """Parse received bytes; return the exchange's end if they are malformed or over the limits."""
         try:
             self._header_sections.feed(self._open_parser(), data)
-        except Exception:  # malformed HTTP, an oversized head, or an answer that violates the protocol
-            return False
+        except (
+            Exception
+        ) as error:  # malformed HTTP, an oversized head, or an answer that violates the protocol
+            cause = error.__context__  # what a callback of the parser has raised
+            return cause.end if isinstance(cause, MalformedAnswer) else MALFORMED_ANSWER
         finally:
             self._answer_bytes += len(data)
-        return self._answer_bytes <= MAX_ANSWER_BYTES
+        return None if self._answer_bytes <= MAX_ANSWER_BYTES else MALFORMED_ANSWER
 
     def close(self) -> None:
         """Drop the parser, which would otherwise form a reference cycle with this object."""
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -17,7 +17,7 @@
 from cedarmill.net.loop import guarded_callback
 from cedarmill.net.socket_state import TRANSPORT_ERRORS, is_closed_or_unknown
 from cedarmill.net.upstream.answer_reader import AnswerReader
-from cedarmill.net.upstream.exchange_end import MALFORMED_ANSWER, BreakReason, ExchangeEnd
+from cedarmill.net.upstream.exchange_end import BreakReason, ExchangeEnd
 from cedarmill.net.upstream.request_writer import RequestWriter
 
 if TYPE_CHECKING:
@@ -128,17 +128,18 @@
         if exchange is None:  # unsolicited data
             self.discard()
             return
-        is_valid = self.answer.feed(data)
+        malformed_end = self.answer.feed(data)
         now = self.driver.now()
-        if not is_valid:
+        if malformed_end is not None:
             self.discard()
         elif self.answer.complete:  # released first: the balancer may reuse the connection at once
             self._release_after_answer(exchange)
         elif exchange.pending_end is not None and not exchange.finished:  # only the message's end is missing
             self.writer.withhold_last_byte()
             self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
-        if exchange.pending_end is not None or not is_valid:
-            exchange.finish(now, exchange.pending_end or MALFORMED_ANSWER)
+        end = exchange.pending_end or malformed_end
+        if end is not None:
+            exchange.finish(now, end)
 
     def _release_after_answer(self, exchange: "Exchange") -> None:
         assert self.transport is not None
--- a/cedarmill/net/upstream/exchange_end.py
+++ b/cedarmill/net/upstream/exchange_end.py
@@ -17,6 +17,8 @@
     ANSWER_END_TIMED_OUT = "closed by the node: an answer did not end in time"
     IDLE_TIMED_OUT = "closed by the node: idle for too long"
     ANSWER_MALFORMED = "closed by the node: the answer is malformed"
+    RESULT_MISSING = "closed by the node: the last line of the answer has no result"
+    ID_MISSING = "closed by the node: a line of the answer names no request"
     REJECTION_AMBIGUOUS = "closed by the node: a rejection may belong to the request before"
     ANSWER_INCOMPLETE = "the answer ended without a final state"
     CONNECT_TIMED_OUT = "not opened in time"
@@ -38,3 +40,11 @@
 AMBIGUOUS_REJECTION = ExchangeEnd(Outcome.AMBIGUOUS_FULL, reason=BreakReason.REJECTION_AMBIGUOUS)
 INCOMPLETE_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_INCOMPLETE)
 MALFORMED_ANSWER = ExchangeEnd(Outcome.RESET, reason=BreakReason.ANSWER_MALFORMED)
+
+
+class MalformedAnswer(ValueError):
+    """Raised for an answer that cannot be used; `end` is that of its exchange, which may have run."""
+
+    def __init__(self, reason: BreakReason) -> None:
+        super().__init__(reason.value)
+        self.end = ExchangeEnd(Outcome.RESET, reason=reason)
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -1,6 +1,7 @@
 """Tests of connections and processes that end at an unfavourable moment, with scripted peers."""
 
 import contextlib
+import json
 import queue
 import resource
 import select
@@ -13,7 +14,6 @@
 from tests.net.test_client_cancellation import RawClientCase, raw
 from tests.support.node_case import WAIT, NodeCase
 
-EARLY_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{"state":"done","result":1}'
 REJECTION = "HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
 LARGE_ANSWER_BYTES = 200_000
 # Longest time from the close of a client to the end of its attempts.
@@ -309,7 +309,7 @@
             waiting[-1].sendall(raw(100 + number))
         self.terminate()
         self.wait_log("no new sessions from now on")
-        self.executors[0].early_answer = EARLY_ANSWER
+        self.executors[0].answers_at_once = True
         for sock in open_clients[:10]:
             sock.close()
         for sock in waiting:
@@ -366,7 +366,7 @@
     def test_two_answers_at_once_count_as_the_first_one(self):
         """Guards against a second answer that overrides the first and causes a retry of an unsafe request."""
         client, request = self.send_request()
-        body = '{"state":"done","result":1}'
+        body = json.dumps({"id": request.headers["X-Call-Id"], "state": "done", "result": 1})
         request.connection.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}{REJECTION}")
         self.assertEqual(client.answer(), (200, b"1"))
         self.assertTrue(request.connection.ended.wait(WAIT))
@@ -487,9 +487,7 @@
         self.assertEqual(client.ask("issue").answer()[0], 503)  # A refusal: the client may retry.
         self.set_descriptor_limit(256)
         statuses = [503]
-        self.executors[0].early_answer = (
-            "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n" + '{"state":"done","result":1}'
-        )
+        self.executors[0].answers_at_once = True
         self.wait_for(lambda: statuses.append(client.ask("pin").answer()[0]) or statuses[-1] == 200)
 
     def test_a_watch_without_a_descriptor_is_started_again_in_time(self):
--- a/tests/net/test_node.py
+++ b/tests/net/test_node.py
@@ -133,7 +133,8 @@
         request.send_state("started")
         request.send_state("running", share=0.5)
         request.connection.send('5\r\n{"sta\r\n')
-        request.connection.send('1e\r\nte":"done","result":{"a": 1}}\n\r\n0\r\n\r\n')
+        rest = f'te":"done","id":"{request.headers["X-Call-Id"]}",' + '"result":{"a": 1}}\n'
+        request.connection.send(f"{len(rest):x}\r\n{rest}\r\n0\r\n\r\n")
         self.assertEqual(client.answer(), (200, b'{"a": 1}'))
 
 
--- a/tests/net/test_upstream_faults.py
+++ b/tests/net/test_upstream_faults.py
@@ -109,13 +109,11 @@
                 first, request = self.fail_connects(name)
                 self.check_served(first, request)
                 client, statuses = self.client(), []
-                self.executors[0].early_answer = "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n" + (
-                    '{"state":"done","result":1}'
-                )
+                self.executors[0].answers_at_once = True
                 self.wait_for(
                     lambda c=client, s=statuses: s.append(c.ask("issue").answer()[0]) or s[-1] == 200
                 )
-                self.executors[0].early_answer = None
+                self.executors[0].answers_at_once = False
 
 
 class FailingTransports(ExecutorCase):
--- a/tests/support/stand_in_server.py
+++ b/tests/support/stand_in_server.py
@@ -51,7 +51,11 @@
             body = stream.read(length)
             # Skip requests that have their early answer or are incomplete.
             if not first_byte and len(body) == length:
-                self._server.received.put(ReceivedRequest(self, line.decode(), headers, body))
+                request = ReceivedRequest(self, line.decode(), headers, body)
+                if self._server.answers_at_once:
+                    request.done()
+                else:
+                    self._server.received.put(request)
             first_byte = b""
 
     def send(self, text: str) -> None:
@@ -107,6 +111,7 @@
         self.connections: list[ServerConnection] = []
         self.resets_at_first_byte = False  # applies to each new connection
         self.early_answer: str | None = None  # sent at the first byte of each new connection
+        self.answers_at_once = False  # whether each request is answered when it has come
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
