Ask whether input waits before the requests that were read are served

What a client sends while the node serves what it has just read has not waited since the connection was accepted. It counted so, since the node looked for unread input last: a request on a new connection could get 409 for an id that had been answered before it was sent.

The node looks before it serves, and the deadline of such a request counts from its first byte.

--- a/cedarmill/net/clients/connection.py
+++ b/cedarmill/net/clients/connection.py
@@ -214,10 +214,12 @@
         """Return whether the socket has unread input; a delayed event loop runs timers before it reads."""
         return has_unread_bytes(self.transport)
 
-    def forget_waiting_if_read(self) -> None:
-        """Let the times of later requests count from their first byte if no input waits any more."""
-        if self.sent_since is None or self.lifecycle.is_reading_paused or self.has_unread_input():
-            return
+    def has_waiting_input(self) -> bool:
+        """Return whether unread input may have been waiting since `sent_since`."""
+        return self.sent_since is not None and (self.lifecycle.is_reading_paused or self.has_unread_input())
+
+    def forget_waiting_input(self) -> None:
+        """Let the times of later requests count from their first byte, since all waiting input was read."""
         self.unread_since = self.sent_since = None
 
     def drop(self) -> None:
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -50,7 +50,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the session and start its timers."""
         self.transport, self.connected = cast(asyncio.Transport, transport), True
-        self.forget_waiting_if_read()
+        if not self.has_waiting_input():
+            self.forget_waiting_input()
         self.server.add(self)
         self.set_timers()
 
@@ -82,13 +83,16 @@
         """Parse input and serve complete requests; discard input after the last response."""
         lifecycle, reader = self.lifecycle, self.reader
         lifecycle.last_byte_at = self.driver.now()
+        # Asked before the requests are served: what comes meanwhile has not waited.
+        has_waiting_input = self.has_waiting_input()
         if lifecycle.is_open and not reader.is_stopped:
             reader.feed(data)
+            if not has_waiting_input:
+                self.forget_waiting_input()
             self.serve_queued_requests()
         else:
             self.discarded_bytes += len(data)
             self.set_reading_paused(self.discarded_bytes > limits.MAX_DISCARDED_BYTES)
-        self.forget_waiting_if_read()
 
     # Callbacks of the request reader.
 
