Tell a node's other process when an id was closed, for requests that wait unread

Callers would have seen a single_shot request run twice while a process is replaced: its id was open in the old process, a bad client sent it to the new one behind requests of its own, and the new one read it after the old one had answered.

Cause: the processes know of each other's ids by locks, which say only what is open now.

Change: each process writes when it closed an id in a common file of 256 KB, and one that has the lock of an id whose request waited for 1 ms or more reads it. The record precedes the unlock, so who gets the lock finds it; the file outlives its writers. Where another id has taken the slot since, a request that waited gets 503 while a sibling lives. Both files share how they are opened (shared_file.py). Only where $LB_SOCKET_FD is set.

The checksum of an id has a public name now; the test that names it is otherwise as it was.

--- a/cedarmill/net/clients/closed_ids.py
+++ b/cedarmill/net/clients/closed_ids.py
@@ -5,6 +5,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import ItemsView
 from enum import Enum, auto
 
 MAX_CLOSED_IDS = 4096  # about 0.6 MB with ids of 16 characters
@@ -36,6 +37,10 @@
         if len(self._closed_at) > MAX_CLOSED_IDS:
             self._forgotten_until = self._closed_at.popitem(last=False)[1]
 
+    def items(self) -> ItemsView[bytes, int]:
+        """Return the ids with the times at which they were closed (us), earliest first."""
+        return self._closed_at.items()
+
     def _earliest(self) -> int:
         return next(iter(self._closed_at.values()))
 
--- a/cedarmill/net/clients/open_requests.py
+++ b/cedarmill/net/clients/open_requests.py
@@ -5,17 +5,27 @@
 is read only after that one has ended.
 """
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from cedarmill.log import log_event
 from cedarmill.net.clients.closed_ids import ClosedIds, WasOpen
 from cedarmill.net.clients.request import ClientRequest, ClientRequestError
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
+from cedarmill.net.upgrade.closed_id_table import ClosedIdTable
 
 if TYPE_CHECKING:
     from cedarmill.net.clients.session import ClientSession
 
+MIN_WAIT_US = 1_000  # a request that is served sooner after its first byte has not waited
+
+
+class SharedIds(NamedTuple):
+    """What the processes of a node know of each other's ids."""
+
+    locks: CallIdLocks
+    closed_table: ClosedIdTable
+
 
 class OpenRequests:
     """The sessions of this process's open requests by X-Call-Id, and the locks shared with its siblings.
@@ -29,24 +39,27 @@
         # Ids of requests that ended in this turn of the loop: input that is read in it was sent before.
         self._closing: set[bytes] = set()
         self._closed_ids = ClosedIds(longest_deadline_us)
-        self._locks: CallIdLocks | None = None  # None if no second process of the node can be started
+        self._shared: SharedIds | None = None  # None if no second process of the node can be started
         self._sibling_count = 0
 
-    def share(self, locks: CallIdLocks) -> None:
+    def share(self, locks: CallIdLocks, closed_table: ClosedIdTable) -> None:
         """Share the ids with other processes of the node."""
-        self._locks = locks
+        self._shared = SharedIds(locks, closed_table)
 
     def set_sibling_count(self, count: int) -> None:
-        """Set how many other processes of the node are alive, and lock all ids for a new one."""
-        if count != self._sibling_count and self._locks is not None:
-            self._lock_all(self._locks)
+        """Set how many other processes of the node are alive, and share all ids with a new one."""
+        if count != self._sibling_count and self._shared is not None:
+            self._share_all(self._shared)
         self._sibling_count = count
 
-    def _lock_all(self, locks: CallIdLocks) -> None:
-        """Lock all ids again, since the file may have been deleted, or not available before."""
-        locks.close_if_removed()
+    def _share_all(self, shared: SharedIds) -> None:
+        """Share all ids again, since the files may have been deleted, or not available before."""
+        shared.locks.close_if_removed()
+        shared.closed_table.close_if_removed()
         for call_id in self._sessions:
-            locks.lock(call_id)
+            shared.locks.lock(call_id)
+        for call_id, closed_at in self._closed_ids.items():
+            shared.closed_table.record(call_id, closed_at)
 
     def session_of(self, call_id: bytes) -> "ClientSession | None":
         """Return the session of an open request of this process."""
@@ -58,8 +71,9 @@
         It does so as well if that is not known.
         """
         self._check_own_ids(call_id, message.sent_since)
-        if self._locks is not None:
-            self._lock(self._locks, call_id)
+        if self._shared is not None:
+            self._lock(self._shared.locks, call_id)
+            self._check_closed_by_sibling(self._shared, call_id, message.sent_since)
         self._sessions[call_id] = session
         message.open_id = call_id
 
@@ -68,7 +82,17 @@
         if result is LockResult.HELD_BY_SIBLING:
             raise _id_is_open("a sibling process")
         if result is LockResult.UNAVAILABLE and self._sibling_count:
-            raise ClientRequestError(503, "refused")  # The sibling may hold the id.
+            raise _refused()  # The sibling may hold the id.
+
+    def _check_closed_by_sibling(self, shared: SharedIds, call_id: bytes, sent_since: int) -> None:
+        """Raise ClientRequestError for an id that was closed while the request waited; its lock is held."""
+        now = self._driver.now()
+        if now - sent_since < MIN_WAIT_US:
+            return
+        was_open = shared.closed_table.was_open_at(call_id, sent_since, now)
+        if was_open is WasOpen.YES or (was_open is WasOpen.UNKNOWN and self._sibling_count):
+            shared.locks.unlock(call_id)
+            raise _id_was_open(now - sent_since) if was_open is WasOpen.YES else _refused()
 
     def _check_own_ids(self, call_id: bytes, sent_since: int) -> None:
         if call_id in self._sessions or call_id in self._closing:
@@ -77,7 +101,7 @@
         if was_open is WasOpen.YES:
             raise _id_was_open(self._driver.now() - sent_since)
         if was_open is WasOpen.UNKNOWN:
-            raise ClientRequestError(503, "refused")
+            raise _refused()
 
     def remove(self, message: ClientRequest) -> None:
         """Close a request; no effect if it is not open."""
@@ -85,8 +109,9 @@
         if call_id is None:
             return
         del self._sessions[call_id]
-        if self._locks is not None:
-            self._locks.unlock(call_id)
+        if self._shared is not None:  # first recorded: a sibling that gets the lock finds the record
+            self._shared.closed_table.record(call_id, self._driver.now())
+            self._shared.locks.unlock(call_id)
         if not self._closing:
             self._driver.call_after_reads(self._record_closed)
         self._closing.add(call_id)
@@ -107,3 +132,7 @@
 def _id_was_open(wait_us: int) -> ClientRequestError:
     log_event("call-id-was-open", wait_ms=wait_us // 1000)
     return ClientRequestError(409, "a req with this x-call-id was open")
+
+
+def _refused() -> ClientRequestError:
+    return ClientRequestError(503, "refused")
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -26,6 +26,7 @@
 from cedarmill.net.reload import ConfigurationReload
 from cedarmill.net.shutdown import Shutdown
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks
+from cedarmill.net.upgrade.closed_id_table import ClosedIdTable
 from cedarmill.net.upgrade.sibling import SiblingExchange
 from cedarmill.net.upgrade.warm_state import WarmStateSaver
 from cedarmill.net.upstream.pool import UpstreamPools
@@ -150,7 +151,8 @@
         self._open_listeners()
         self.admin_handlers.start()
         if self.inherited_socket is not None:  # a second process can be started while this one serves
-            self.clients.open_requests.share(CallIdLocks(self.config.name))
+            name = self.config.name
+            self.clients.open_requests.share(CallIdLocks(name), ClosedIdTable(name))
             self.warm_state.start()  # before discovery starts: a successor asks it at once
         self.discovery.start(self.config.known)
         if self.cluster_role is not None:
--- a/cedarmill/net/upgrade/call_id_locks.py
+++ b/cedarmill/net/upgrade/call_id_locks.py
@@ -15,7 +15,7 @@
 from enum import Enum, auto
 
 from cedarmill.log import log_event
-from cedarmill.net.upgrade.state_file import open_regular_file, state_file_path
+from cedarmill.net.upgrade.shared_file import SharedFile
 
 FILE_KIND = "calls"
 HELD_ERRORS = frozenset((errno.EAGAIN, errno.EACCES))  # which of them means a held lock depends on the system
@@ -29,24 +29,22 @@
     UNAVAILABLE = auto()  # The system did not tell.
 
 
-def _offset(call_id: bytes) -> int:
-    """Return the offset of an id's byte: a checksum of 62 bits, for which file offsets have room."""
+def id_checksum(call_id: bytes) -> int:
+    """Return a checksum of an id of 62 bits, for which file offsets have room."""
     return zlib.crc32(call_id) << 30 | zlib.crc32(call_id[::-1]) >> 2
 
 
-class CallIdLocks:
+class CallIdLocks(SharedFile):
     """The locks of this process. No method raises OSError."""
 
     def __init__(self, node: str) -> None:
         """`node`: the name of the node; its processes share the file."""
-        self.path = state_file_path(node, FILE_KIND)
-        self._descriptor = -1  # -1 while the file is closed
+        super().__init__(node, FILE_KIND)
 
     def lock(self, call_id: bytes) -> LockResult:
         """Try to lock an id; an id that this process has locked already is locked again."""
         try:
-            self._ensure_open()
-            fcntl.lockf(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, _offset(call_id), os.SEEK_SET)
+            fcntl.lockf(self._open(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, id_checksum(call_id), os.SEEK_SET)
         except OSError as error:
             if error.errno in HELD_ERRORS:
                 return LockResult.HELD_BY_SIBLING
@@ -59,7 +57,7 @@
         if self._descriptor < 0:
             return
         try:
-            fcntl.lockf(self._descriptor, fcntl.LOCK_UN, 1, _offset(call_id), os.SEEK_SET)
+            fcntl.lockf(self._descriptor, fcntl.LOCK_UN, 1, id_checksum(call_id), os.SEEK_SET)
         except OSError as error:
             log_event("call-ids-not-shared", reason=error)
 
@@ -69,16 +67,3 @@
         if result is LockResult.LOCKED:
             self.unlock(call_id)
         return result is LockResult.HELD_BY_SIBLING
-
-    def close_if_removed(self) -> None:
-        """Close a file that was deleted, since siblings that start later cannot find its locks."""
-        try:
-            if self._descriptor >= 0 and not os.fstat(self._descriptor).st_nlink:
-                descriptor, self._descriptor = self._descriptor, -1
-                os.close(descriptor)
-        except OSError as error:
-            log_event("call-ids-not-shared", reason=error)
-
-    def _ensure_open(self) -> None:
-        if self._descriptor < 0:
-            self._descriptor = open_regular_file(self.path, os.O_RDWR | os.O_CREAT)
--- a/tests/net/test_open_call_ids.py
+++ b/tests/net/test_open_call_ids.py
@@ -3,13 +3,17 @@
 import os
 import signal
 import socket
+import tempfile
 import unittest
+from collections.abc import Callable
 from typing import BinaryIO
+from unittest import mock
 
 from cedarmill.net.clients.closed_ids import MAX_CLOSED_IDS, ClosedIds, WasOpen
 from cedarmill.net.clients.server import ACCEPT_BATCH
-from cedarmill.net.upgrade import call_id_locks
+from cedarmill.net.upgrade import call_id_locks, closed_id_table
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
+from cedarmill.net.upgrade.closed_id_table import ClosedIdTable
 from tests.net.test_client_cancellation import RawClientCase, raw
 from tests.net.test_upgrade import InheritedSocketCase
 from tests.support.faulty_node_case import FaultyNodeCase
@@ -122,6 +126,38 @@
         self.assertEqual((text.count(b"HTTP/1.1 200"), text.count(b"HTTP/1.1 409")), (1, 1))
         self.assertTrue(self.executors[0].received.empty())
 
+    def queue_duplicate(self, session: Client) -> Callable[[], None]:
+        """Send a request with CALL_ID behind two others; return what checks that it is rejected once read."""
+        session.sock.sendall(raw(2) + raw(3))
+        first = self.executors[0].next_request()
+        session.sock.sendall(raw(1, "issue").replace(b"raw1", CALL_ID.encode()))
+
+        def check() -> None:
+            first.done()
+            self.executors[0].next_request().done()
+            stream = session.sock.makefile("rb")
+            self.assertEqual([read_status(stream) for _ in range(3)], [200, 200, 409])
+            self.assertTrue(self.executors[0].received.empty())
+
+        return check
+
+    def test_an_id_that_the_other_process_closed_while_the_request_was_unread_is_rejected(self):
+        """Guards against locks as the only word between processes: they say nothing of a closed id."""
+        received = self.open_request(self.old_session)
+        check_rejected = self.queue_duplicate(self.start_new_process())
+        received.done()
+        self.assertEqual(self.old_session.answer()[0], 200)
+        check_rejected()
+
+    def test_an_id_of_a_process_that_has_ended_meanwhile_is_rejected(self):
+        received = self.open_request(self.old_session)
+        check_rejected = self.queue_duplicate(self.start_new_process())
+        received.done()
+        self.assertEqual(self.old_session.answer()[0], 200)
+        self.old.terminate()
+        self.old.wait(WAIT)
+        check_rejected()
+
     def test_ids_are_locked_again_in_a_file_that_was_deleted(self):
         """Guards against a cleaner of temporary files that makes the processes use two files."""
         self.open_request(self.old_session)
@@ -324,10 +360,49 @@
         self.assertIs(self.ids.was_open_at(b"0", 2), WasOpen.NO)
 
 
+class Table(unittest.TestCase):
+    """The closed ids that the processes of a node share."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        with mock.patch.dict(os.environ, TMPDIR=folder.name):
+            self.own, self.other = ClosedIdTable("n0"), ClosedIdTable("n0")
+
+    def test_the_other_process_finds_when_an_id_was_closed(self):
+        self.own.record(b"a", 5)
+        self.assertIs(self.other.was_open_at(b"a", 5, 9), WasOpen.YES)
+        self.assertIs(self.other.was_open_at(b"a", 6, 9), WasOpen.NO)
+        self.assertIs(self.other.was_open_at(b"b", 5, 9), WasOpen.NO)
+
+    def test_a_time_of_an_earlier_boot_counts_for_nothing(self):
+        self.own.record(b"a", 50)
+        self.assertIs(self.other.was_open_at(b"a", 5, 9), WasOpen.NO)
+
+    def test_an_id_whose_slot_was_taken_meanwhile_is_unknown(self):
+        with mock.patch.object(closed_id_table, "SLOT_COUNT", 1):
+            self.own.record(b"a", 5)
+            self.own.record(b"b", 7)
+            self.assertIs(self.other.was_open_at(b"a", 5, 9), WasOpen.UNKNOWN)
+            self.assertIs(self.other.was_open_at(b"a", 8, 9), WasOpen.NO)
+
+    def test_a_table_that_cannot_be_had_tells_nothing(self):
+        self.own.path = "/proc/none/closed-calls.json"
+        self.own.record(b"a", 5)
+        self.assertIs(self.own.was_open_at(b"a", 5, 9), WasOpen.UNKNOWN)
+
+    def test_a_table_that_was_deleted_is_made_anew(self):
+        self.own.record(b"a", 5)
+        os.remove(self.own.path)
+        self.own.close_if_removed()
+        self.own.record(b"a", 6)
+        self.assertIs(self.other.was_open_at(b"a", 6, 9), WasOpen.YES)
+
+
 class Locks(unittest.TestCase):
     def test_ids_have_different_offsets(self):
         ids = [b"%016x" % number for number in range(20_000)] + [b"a" * length for length in range(1, 257)]
-        offsets = {call_id_locks._offset(call_id) for call_id in ids}
+        offsets = {call_id_locks.id_checksum(call_id) for call_id in ids}
         self.assertEqual(len(offsets), len(ids))
         self.assertLess(max(offsets), 2**62)
 
