Ask the system when a request arrived whose id was closed a short time ago

Now the system is asked when the last input of the connection arrived (TCP_INFO), only for a request whose id was closed within the longest deadline, which no usual client sends. call_after_reads and the time since which a backlog is being accepted are gone again, with the two tests of the former.

What it gives up: a duplicate that arrives less than 11 ms before the answer and is read after it is served, since arrivals are known by clock ticks. The test of a node that is held up holds it up for 50 ms; the stand-ins of two other tests are again what they were before.

At the node's other process each request's id is looked up in the table, 1 ms of waiting or not.

--- a/cedarmill/log_events.py
+++ b/cedarmill/log_events.py
@@ -134,7 +134,7 @@
     "call-id-open": Event(
         logging.WARNING, "a request with the x-call-id of an open one got 409; {holder} holds that one"
     ),
-    "call-id-was-open": Event(logging.WARNING, "409 after waiting {wait_ms} ms: its x-call-id was open then"),
+    "call-id-was-open": Event(logging.WARNING, "409: sent before its x-call-id closed {closed_ms} ms ago"),
     "call-ids-not-shared": Event(
         logging.WARNING, "ids of open requests not shared with this node's sibling process: {reason}"
     ),
--- a/cedarmill/net/clients/closed_ids.py
+++ b/cedarmill/net/clients/closed_ids.py
@@ -6,17 +6,16 @@
 
 from collections import OrderedDict
 from collections.abc import ItemsView
-from enum import Enum, auto
+from typing import NamedTuple
 
 MAX_CLOSED_IDS = 4096  # about 0.6 MB with ids of 16 characters
 
 
-class WasOpen(Enum):
-    """Whether an id was open at a time in the past."""
+class Closing(NamedTuple):
+    """When an id was closed."""
 
-    YES = auto()
-    NO = auto()
-    UNKNOWN = auto()
+    closed_at: int  # us
+    is_certain: bool  # False: the id may have been closed at any time until then, or never opened
 
 
 class ClosedIds:
@@ -37,16 +36,16 @@
         if len(self._closed_at) > MAX_CLOSED_IDS:
             self._forgotten_until = self._closed_at.popitem(last=False)[1]
 
+    def _earliest(self) -> int:
+        return next(iter(self._closed_at.values()))
+
     def items(self) -> ItemsView[bytes, int]:
         """Return the ids with the times at which they were closed (us), earliest first."""
         return self._closed_at.items()
 
-    def _earliest(self) -> int:
-        return next(iter(self._closed_at.values()))
-
-    def was_open_at(self, call_id: bytes, time: int) -> WasOpen:
-        """Return whether an id that is closed now was open at `time` (us) or later."""
+    def last_closing(self, call_id: bytes) -> Closing:
+        """Return when an id was last closed."""
         closed_at = self._closed_at.get(call_id)
-        if closed_at is not None:
-            return WasOpen.YES if time <= closed_at else WasOpen.NO
-        return WasOpen.UNKNOWN if time <= self._forgotten_until else WasOpen.NO
+        if closed_at is None:
+            return Closing(self._forgotten_until, False)
+        return Closing(closed_at, True)
--- a/cedarmill/net/clients/connection.py
+++ b/cedarmill/net/clients/connection.py
@@ -18,6 +18,7 @@
     TRANSPORT_ERRORS,
     has_unread_bytes,
     is_peer_closed,
+    last_input_age_us,
     unacknowledged_bytes,
 )
 
@@ -28,19 +29,11 @@
     transport: asyncio.Transport  # Set by `connection_made`.
 
     def __init__(
-        self,
-        driver: EventLoopDriver,
-        is_half_close_disconnect: bool,
-        unread_since: int | None,
-        sent_since: int | None,
+        self, driver: EventLoopDriver, is_half_close_disconnect: bool, unread_since: int | None
     ) -> None:
-        """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us).
-
-        `sent_since`: the same, also if the backlog was only being accepted; set if `unread_since` is.
-        Both are set as well while reading is paused.
-        """
+        """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us)."""
         self.driver = driver
-        self.unread_since, self.sent_since = unread_since, sent_since
+        self.unread_since = unread_since  # Also set while reading is paused.
         self.created_at = driver.now()
         self.lifecycle = SessionLifecycle(
             self.created_at, limits.TIMES, is_half_close_disconnect=is_half_close_disconnect
@@ -175,7 +168,6 @@
         self.handle(SessionEvent.READING_PAUSED if paused else SessionEvent.READING_RESUMED)
         if paused:
             self.unread_since = self.unread_since or self.driver.now()
-            self.sent_since = self.sent_since or self.unread_since
 
     # Operations that the server and the transport request.
 
@@ -215,12 +207,14 @@
         return has_unread_bytes(self.transport)
 
     def has_waiting_input(self) -> bool:
-        """Return whether unread input may have been waiting since `sent_since`."""
-        return self.sent_since is not None and (self.lifecycle.is_reading_paused or self.has_unread_input())
-
-    def forget_waiting_input(self) -> None:
-        """Let the times of later requests count from their first byte, since all waiting input was read."""
-        self.unread_since = self.sent_since = None
+        """Return whether unread input may have been waiting since `unread_since`."""
+        return self.unread_since is not None and (self.lifecycle.is_reading_paused or self.has_unread_input())
+
+    def latest_arrival(self) -> int:
+        """Return the latest time at which the last input may have arrived (us), which is now if unknown."""
+        now = self.driver.now()
+        age_us = last_input_age_us(self.transport)
+        return now if age_us is None else now - age_us
 
     def drop(self) -> None:
         """Abort the connection, discard unsent output and withdraw the open request."""
--- a/cedarmill/net/clients/open_requests.py
+++ b/cedarmill/net/clients/open_requests.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from cedarmill.log import log_event
-from cedarmill.net.clients.closed_ids import ClosedIds, WasOpen
+from cedarmill.net.clients.closed_ids import ClosedIds, Closing
 from cedarmill.net.clients.request import ClientRequest, ClientRequestError
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
@@ -36,8 +36,6 @@
     def __init__(self, driver: EventLoopDriver, longest_deadline_us: int) -> None:
         self._driver = driver
         self._sessions: dict[bytes, ClientSession] = {}
-        # Ids of requests that ended in this turn of the loop: input that is read in it was sent before.
-        self._closing: set[bytes] = set()
         self._closed_ids = ClosedIds(longest_deadline_us)
         self._shared: SharedIds | None = None  # None if no second process of the node can be started
         self._sibling_count = 0
@@ -70,38 +68,43 @@
 
         It does so as well if that is not known.
         """
-        self._check_own_ids(call_id, message.sent_since)
+        if call_id in self._sessions:
+            raise _id_is_open("this process")
+        self._check_closing(self._closed_ids.last_closing(call_id), session, message)
         if self._shared is not None:
-            self._lock(self._shared.locks, call_id)
-            self._check_closed_by_sibling(self._shared, call_id, message.sent_since)
+            self._add_shared(self._shared, call_id, session, message)
         self._sessions[call_id] = session
         message.open_id = call_id
 
-    def _lock(self, locks: CallIdLocks, call_id: bytes) -> None:
-        result = locks.lock(call_id)
+    def _add_shared(
+        self, shared: SharedIds, call_id: bytes, session: "ClientSession", message: ClientRequest
+    ) -> None:
+        """Lock the id; raises ClientRequestError if it is open at a sibling, or was when it was sent."""
+        result = shared.locks.lock(call_id)
         if result is LockResult.HELD_BY_SIBLING:
             raise _id_is_open("a sibling process")
         if result is LockResult.UNAVAILABLE and self._sibling_count:
             raise _refused()  # The sibling may hold the id.
-
-    def _check_closed_by_sibling(self, shared: SharedIds, call_id: bytes, sent_since: int) -> None:
-        """Raise ClientRequestError for an id that was closed while the request waited; its lock is held."""
         now = self._driver.now()
-        if now - sent_since < MIN_WAIT_US:
-            return
-        was_open = shared.closed_table.was_open_at(call_id, sent_since, now)
-        if was_open is WasOpen.YES or (was_open is WasOpen.UNKNOWN and self._sibling_count):
+        closing = shared.closed_table.last_closing(call_id, now)
+        if closing is None:
+            closing = Closing(now - MIN_WAIT_US if self._sibling_count else -1, False)
+        try:
+            self._check_closing(closing, session, message)
+        except ClientRequestError:
             shared.locks.unlock(call_id)
-            raise _id_was_open(now - sent_since) if was_open is WasOpen.YES else _refused()
+            raise
 
-    def _check_own_ids(self, call_id: bytes, sent_since: int) -> None:
-        if call_id in self._sessions or call_id in self._closing:
-            raise _id_is_open("this process")
-        was_open = self._closed_ids.was_open_at(call_id, sent_since)
-        if was_open is WasOpen.YES:
-            raise _id_was_open(self._driver.now() - sent_since)
-        if was_open is WasOpen.UNKNOWN:
+    def _check_closing(self, closing: Closing, session: "ClientSession", message: ClientRequest) -> None:
+        """Raise ClientRequestError if the request may have been sent before its id was closed."""
+        if message.earliest_sent_at > closing.closed_at and not (
+            closing.is_certain and session.latest_arrival() <= closing.closed_at
+        ):
+            return
+        if not closing.is_certain:
             raise _refused()
+        log_event("call-id-was-open", closed_ms=(self._driver.now() - closing.closed_at) // 1000)
+        raise ClientRequestError(409, "a req with this x-call-id was open")
 
     def remove(self, message: ClientRequest) -> None:
         """Close a request; no effect if it is not open."""
@@ -109,19 +112,11 @@
         if call_id is None:
             return
         del self._sessions[call_id]
+        now = self._driver.now()
+        self._closed_ids.add(call_id, now)
         if self._shared is not None:  # first recorded: a sibling that gets the lock finds the record
-            self._shared.closed_table.record(call_id, self._driver.now())
+            self._shared.closed_table.record(call_id, now)
             self._shared.locks.unlock(call_id)
-        if not self._closing:
-            self._driver.call_after_reads(self._record_closed)
-        self._closing.add(call_id)
-
-    def _record_closed(self) -> None:
-        """Record the ids that were closed in the turn of the loop that has ended."""
-        now = self._driver.now()
-        for call_id in self._closing:
-            self._closed_ids.add(call_id, now)
-        self._closing.clear()
 
 
 def _id_is_open(holder: str) -> ClientRequestError:
@@ -129,10 +124,5 @@
     return ClientRequestError(409, "a req with this x-call-id is open")
 
 
-def _id_was_open(wait_us: int) -> ClientRequestError:
-    log_event("call-id-was-open", wait_ms=wait_us // 1000)
-    return ClientRequestError(409, "a req with this x-call-id was open")
-
-
 def _refused() -> ClientRequestError:
     return ClientRequestError(503, "refused")
--- a/cedarmill/net/clients/request.py
+++ b/cedarmill/net/clients/request.py
@@ -25,18 +25,15 @@
         "keep_alive",
         "method",
         "open_id",
-        "sent_since",
         "target",
     )
 
-    def __init__(self, now: int, unread_since: int | None = None, sent_since: int | None = None) -> None:
+    def __init__(self, now: int, unread_since: int | None = None) -> None:
         """`unread_since`: earliest time at which the request may have been waiting unread, or None (us).
 
-        The client's deadline counts from that time. `sent_since`: the earliest time at which it may have been
-        sent, or None if it has not waited.
+        The client's deadline counts from that time.
         """
         self.first_byte_at = now
-        self.sent_since = now if sent_since is None else sent_since
         self.earliest_sent_at = now if unread_since is None else unread_since
         self.method = self.target = b""
         self.headers: dict[bytes, bytes] = {}
--- a/cedarmill/net/clients/request_reader.py
+++ b/cedarmill/net/clients/request_reader.py
@@ -19,7 +19,6 @@
 
     driver: EventLoopDriver
     unread_since: int | None  # Earliest time at which the input may have been waiting (us).
-    sent_since: int | None  # The same, with the time in a backlog that is being accepted (us).
     current_message: ClientRequest | None  # The request in service, which is not in `requests`.
 
     def on_request_begun(self) -> None:
@@ -114,9 +113,7 @@
         self._header_sections.start_message()
         if len(self.requests) >= limits.MAX_PIPELINED_REQUESTS:
             raise ClientRequestError(400, "too many requests at once")
-        self.incomplete = ClientRequest(
-            self._sink.driver.now(), self._sink.unread_since, self._sink.sent_since
-        )
+        self.incomplete = ClientRequest(self._sink.driver.now(), self._sink.unread_since)
         self._sink.on_request_begun()
 
     def on_url(self, url: bytes) -> None:
--- a/cedarmill/net/clients/server.py
+++ b/cedarmill/net/clients/server.py
@@ -70,7 +70,7 @@
         self._acceptor = Acceptor(
             self.driver,
             sock,
-            self._new_session,
+            lambda: ClientSession(self, self._acceptor.backlog_waiting_since),
             listener="clients",
             batch=ACCEPT_BATCH,
             can_accept=self._can_accept,
@@ -78,9 +78,6 @@
         self.port = self._acceptor.port
         self._acceptor.resume()
 
-    def _new_session(self) -> ClientSession:
-        return ClientSession(self, self._acceptor.backlog_waiting_since, self._acceptor.backlog_seen_at)
-
     def is_ready(self) -> bool:
         """Return whether the node can serve requests."""
         return bool(self.dispatch.ready_executors) and not self.is_draining
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -33,11 +33,9 @@
 class ClientSession(ClientConnection):
     """One client connection: asyncio protocol, request sink and receiver of results from the dispatch."""
 
-    def __init__(
-        self, server: "ClientServer", unread_since: int | None = None, sent_since: int | None = None
-    ) -> None:
-        """`unread_since` and `sent_since` (us): see `ClientConnection`."""
-        super().__init__(server.driver, server.options.half_close == "leaves", unread_since, sent_since)
+    def __init__(self, server: "ClientServer", unread_since: int | None = None) -> None:
+        """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us)."""
+        super().__init__(server.driver, server.options.half_close == "leaves", unread_since)
         self.server = server
         self.reader = RequestReader(self, server.used_headers)
         self.current_message: ClientRequest | None = None
@@ -50,8 +48,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the session and start its timers."""
         self.transport, self.connected = cast(asyncio.Transport, transport), True
-        if not self.has_waiting_input():
-            self.forget_waiting_input()
         self.server.add(self)
         self.set_timers()
 
@@ -88,7 +84,7 @@
         if lifecycle.is_open and not reader.is_stopped:
             reader.feed(data)
             if not has_waiting_input:
-                self.forget_waiting_input()
+                self.unread_since = None
             self.serve_queued_requests()
         else:
             self.discarded_bytes += len(data)
--- a/cedarmill/net/listener.py
+++ b/cedarmill/net/listener.py
@@ -86,8 +86,6 @@
         self._resume_timer = SingleTimer(driver.timers)
         # Earliest time at which connections may have been waiting in the backlog, or None (us).
         self.backlog_waiting_since: int | None = None
-        # Time since which the backlog has not been seen empty, or None (us).
-        self.backlog_seen_at: int | None = None
 
     @property
     def opening_count(self) -> int:
@@ -116,8 +114,6 @@
     def _mark_backlog_waiting(self) -> None:
         if self.backlog_waiting_since is None:
             self.backlog_waiting_since = self.driver.now()
-        if self.backlog_seen_at is None:
-            self.backlog_seen_at = self.backlog_waiting_since
 
     def resume_later(self) -> None:
         """Pause accepting for `ACCEPT_RETRY_US`."""
@@ -141,8 +137,6 @@
         """Accept at most one batch of connections."""
         if self._socket is None:
             return AcceptResult.BACKLOG_EMPTY
-        if self.backlog_seen_at is None:
-            self.backlog_seen_at = self.driver.now()
         for _ in range(self.batch):
             if not self._can_accept():
                 self._mark_backlog_waiting()
@@ -150,7 +144,7 @@
             try:
                 sock, _ = self._socket.accept()
             except BlockingIOError:
-                self.backlog_waiting_since = self.backlog_seen_at = None
+                self.backlog_waiting_since = None
                 return AcceptResult.BACKLOG_EMPTY
             except OSError as error:
                 if error.errno in SINGLE_CONNECTION_ERRNOS:
--- a/cedarmill/net/loop.py
+++ b/cedarmill/net/loop.py
@@ -59,7 +59,6 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due: int | None = None
         self._wake_at = 0  # time for which the loop timer is scheduled (us)
-        self._runs_loop_timer = False  # whether a timer of the loop runs now, which precedes the turn's reads
         self._catch_up_turns = 0  # turns of the loop until due timers run again
         self._caught_up_at = -CATCH_UP_PAUSE_US  # us
 
@@ -95,16 +94,6 @@
         self._wake_at = max(first, now)
         self._timer = self.loop.call_later(delay, self._wake)
 
-    def call_after_reads(self, call: Callable[[], object]) -> None:
-        """Call once the event loop has read the input that waits now on any of its sockets.
-
-        `loop.call_soon` calls before the next reads of the loop.
-        """
-        if self._runs_loop_timer:
-            self.loop.call_soon(self.loop.call_soon, call)
-        else:
-            self.loop.call_soon(call)
-
     def _catch_up(self) -> None:
         """Count a turn of the loop, and run the due timers after the last."""
         self._catch_up_turns -= 1
@@ -112,21 +101,14 @@
             self.loop.call_later(CATCH_UP_TURN_S, self._catch_up)
             return
         self._caught_up_at = self.now()
-        self._run_from_loop_timer()
+        self.run_due_timers()
 
     def _wake(self) -> None:
         self._timer = self._timer_due = None
         delay_us = self.now() - self._wake_at
         if delay_us > MAX_EXPECTED_DELAY_US:
             log_event("held-up", delay_ms=delay_us // 1000)
-        self._run_from_loop_timer()
-
-    def _run_from_loop_timer(self) -> None:
-        self._runs_loop_timer = True
-        try:
-            self.run_due_timers()
-        finally:
-            self._runs_loop_timer = False
+        self.run_due_timers()
 
 
 class Guarded(Protocol):
--- a/cedarmill/net/socket_state.py
+++ b/cedarmill/net/socket_state.py
@@ -4,12 +4,17 @@
 import contextlib
 import fcntl
 import select
+import socket
+import struct
 import termios
 from array import array
 
 HALF_CLOSE_EVENTS = select.POLLRDHUP  # The peer has shut down its sending side.
 FULL_CLOSE_EVENTS = select.POLLHUP | select.POLLERR  # Both directions are closed or reset.
 MAX_ATTEMPTS = 2
+# In struct tcp_info (tcp(7)): time since the last input, in ms of the system's clock tick.
+LAST_INPUT_AGE = struct.Struct("=52xI")
+CLOCK_TICK_ERROR_US = 11_000  # a tick takes up to 10 ms, and the age is rounded to 1 ms
 # Errors that the methods of a transport raise when its socket is broken or closed.
 TRANSPORT_ERRORS = (OSError, RuntimeError, ValueError)
 
@@ -64,3 +69,14 @@
     except TRANSPORT_ERRORS:
         return True
     return byte_count[0] > 0
+
+
+def last_input_age_us(transport: asyncio.Transport) -> int | None:
+    """Return how long ago the last input arrived at the socket, at least (us); None if that is not known."""
+    sock = transport.get_extra_info("socket")
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_INPUT_AGE.size)
+        age_ms: int = LAST_INPUT_AGE.unpack(info)[0]
+    except (*TRANSPORT_ERRORS, AttributeError, struct.error):
+        return None
+    return max(0, age_ms * 1000 - CLOCK_TICK_ERROR_US)
--- a/cedarmill/net/upgrade/closed_id_table.py
+++ b/cedarmill/net/upgrade/closed_id_table.py
@@ -9,7 +9,7 @@
 import struct
 
 from cedarmill.log import log_event
-from cedarmill.net.clients.closed_ids import WasOpen
+from cedarmill.net.clients.closed_ids import Closing
 from cedarmill.net.upgrade.call_id_locks import id_checksum
 from cedarmill.net.upgrade.shared_file import SharedFile
 
@@ -37,20 +37,20 @@
         except OSError as error:
             log_event("call-ids-not-shared", reason=error)
 
-    def was_open_at(self, call_id: bytes, time: int, now: int) -> WasOpen:
-        """Return whether an id that is closed `now` was open at `time` or later, at any process (us)."""
+    def last_closing(self, call_id: bytes, now: int) -> Closing | None:
+        """Return when a process last closed an id, or None if the table cannot be read; `now`: us."""
         checksum = id_checksum(call_id)
         try:
             slot = os.pread(self._open(), SLOT.size, _slot_offset(checksum))
         except OSError as error:
             log_event("call-ids-not-shared", reason=error)
-            return WasOpen.UNKNOWN
+            return None
         if len(slot) < SLOT.size:
-            return WasOpen.UNKNOWN  # The file was truncated.
+            return None  # The file was truncated.
         closed_checksum, closed_at = SLOT.unpack(slot)
-        if closed_at < time or closed_at > now:  # A later time is one of an earlier boot.
-            return WasOpen.NO
-        return WasOpen.YES if closed_checksum == checksum else WasOpen.UNKNOWN
+        if closed_at > now:
+            return Closing(-1, False)  # The time is one of an earlier boot.
+        return Closing(closed_at, closed_checksum == checksum)
 
 
 def _slot_offset(checksum: int) -> int:
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -39,7 +39,7 @@
     """A session without a transport; `current_message` is the request in service."""
 
     driver = EventLoopDriver
-    unread_since = sent_since = None
+    unread_since = None
 
     def __init__(self) -> None:
         self.current_message: ClientRequest | None = None
--- a/tests/net/test_client_socket_errors.py
+++ b/tests/net/test_client_socket_errors.py
@@ -208,9 +208,7 @@
     """An exception in one session affects only that session."""
 
     def setUp(self) -> None:
-        loop = SimpleNamespace(
-            call_later=lambda delay, call: SimpleNamespace(cancel=lambda: None), call_soon=lambda call: None
-        )
+        loop = SimpleNamespace(call_later=lambda delay, call: SimpleNamespace(cancel=lambda: None))
         self.timers, self.sock = Timers(), socket.socket()
         self.addCleanup(self.sock.close)
         self.sock.bind(("127.0.0.1", 0))
--- a/tests/net/test_loop.py
+++ b/tests/net/test_loop.py
@@ -4,7 +4,6 @@
 import socket
 import time
 import unittest
-from collections.abc import Callable
 
 import uvloop
 
@@ -94,56 +93,5 @@
         self.assertEqual(len(ran_at), 3)
 
 
-class CallAfterReads(unittest.TestCase):
-    """A call that is to follow the reads of its turn, from a reader and from a timer of the loop."""
-
-    def setUp(self) -> None:
-        self.loop = uvloop.new_event_loop()
-        self.addCleanup(self.loop.close)
-        self.driver = EventLoopDriver(self.loop, Timers())
-        self.order: list[str] = []
-
-    def add_reader(self, name: str, on_read: Callable[[], object] = lambda: None) -> socket.socket:
-        """Note the first read of a new socket, then call `on_read`; return its writing end."""
-        reading, writing = socket.socketpair()
-        self.addCleanup(reading.close)
-        self.addCleanup(writing.close)
-
-        def read() -> None:
-            self.loop.remove_reader(reading)
-            self.order.append(name)
-            on_read()
-
-        self.loop.add_reader(reading, read)
-        return writing
-
-    def finish(self) -> None:
-        """Note the call and end the loop."""
-        self.order.append("call")
-        self.loop.stop()
-
-    def test_it_follows_the_other_reads_of_the_turn(self):
-        writing_ends = [
-            self.add_reader("first", lambda: self.driver.call_after_reads(self.finish)),
-            self.add_reader("second"),
-        ]
-        for sock in writing_ends:
-            sock.send(b"x")
-        self.loop.run_forever()
-        self.assertEqual(self.order, ["first", "second", "call"])
-
-    def test_it_follows_the_reads_after_a_timer(self):
-        writing = self.add_reader("read")
-
-        def time_out(now: int) -> None:
-            writing.send(b"x")
-            self.driver.call_after_reads(self.finish)
-
-        self.driver.timers.add(self.driver.now() + 5_000, time_out)
-        self.driver.run_due_timers()
-        self.loop.run_forever()
-        self.assertEqual(self.order, ["read", "call"])
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/net/test_open_call_ids.py
+++ b/tests/net/test_open_call_ids.py
@@ -4,12 +4,13 @@
 import signal
 import socket
 import tempfile
+import time
 import unittest
 from collections.abc import Callable
 from typing import BinaryIO
 from unittest import mock
 
-from cedarmill.net.clients.closed_ids import MAX_CLOSED_IDS, ClosedIds, WasOpen
+from cedarmill.net.clients.closed_ids import MAX_CLOSED_IDS, ClosedIds, Closing
 from cedarmill.net.clients.server import ACCEPT_BATCH
 from cedarmill.net.upgrade import call_id_locks, closed_id_table
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
@@ -21,6 +22,7 @@
 from tests.support.system_call_faults import Fault
 
 CALL_ID = "0123456789abcdef"
+HELD_UP_S = 0.05  # the platform may hold a node up for 0.15 s
 OPEN_ID_HEADERS = {"X-Call-Id": CALL_ID}
 
 
@@ -268,6 +270,8 @@
         self.wait_for(self._is_stopped)
 
     def resume(self) -> None:
+        """Let the node go on after it was held up for HELD_UP_S at least."""
+        time.sleep(HELD_UP_S)
         self.process.send_signal(signal.SIGCONT)
 
     def test_behind_paused_reading(self):
@@ -281,10 +285,10 @@
         second.done()
         self.next_request().done()
         self.check_statuses(sock, [200, 200, 409])
-        self.wait_log("its x-call-id was open then")
+        self.wait_log("409: sent before its x-call-id closed")
 
-    def test_in_the_turn_of_the_loop_that_ended_it(self):
-        """The node is held up while the executor answers and the duplicate comes."""
+    def test_while_the_node_is_held_up(self):
+        """The executor's answer and the duplicate come together, and the answer is read first."""
         sock = self.raw_client()
         sock.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertEqual(read_status(sock.makefile("rb")), 200)
@@ -332,32 +336,26 @@
     def setUp(self) -> None:
         self.ids = ClosedIds(12_000_000)
 
-    def test_an_id_was_open_until_it_was_closed(self):
-        self.ids.add(b"a", 5_000_000)
-        self.assertIs(self.ids.was_open_at(b"a", 5_000_000), WasOpen.YES)
-        self.assertIs(self.ids.was_open_at(b"a", 5_000_001), WasOpen.NO)
-        self.assertIs(self.ids.was_open_at(b"b", 0), WasOpen.NO)
-
-    def test_an_id_that_is_closed_again_counts_from_then(self):
+    def test_the_last_closing_counts(self):
         for now in (1, 3):
             self.ids.add(b"a", now)
-        self.assertIs(self.ids.was_open_at(b"a", 2), WasOpen.YES)
+        self.assertEqual(self.ids.last_closing(b"a"), Closing(3, True))
+        self.assertEqual(self.ids.last_closing(b"b"), Closing(-1, False))
 
     def test_ids_are_kept_for_the_longest_deadline(self):
         self.ids.add(b"a", 1)
         self.ids.add(b"b", 12_000_001)
-        self.assertIs(self.ids.was_open_at(b"a", 1), WasOpen.YES)
+        self.assertEqual(self.ids.last_closing(b"a"), Closing(1, True))
         self.ids.add(b"c", 12_000_002)
-        self.assertIs(self.ids.was_open_at(b"a", 1), WasOpen.NO)
-        self.assertIs(self.ids.was_open_at(b"b", 1), WasOpen.YES)
+        self.assertEqual(self.ids.last_closing(b"a"), Closing(-1, False))
+        self.assertEqual(self.ids.last_closing(b"b"), Closing(12_000_001, True))
 
-    def test_what_was_forgotten_early_is_unknown(self):
+    def test_what_was_forgotten_early_is_uncertain(self):
         """Guards against memory that grows with the rate, and against a duplicate that is served for it."""
         for number in range(MAX_CLOSED_IDS + 2):
             self.ids.add(b"%d" % number, number)
-        self.assertEqual(len(self.ids._closed_at), MAX_CLOSED_IDS)
-        self.assertIs(self.ids.was_open_at(b"0", 1), WasOpen.UNKNOWN)
-        self.assertIs(self.ids.was_open_at(b"0", 2), WasOpen.NO)
+        self.assertEqual(len(self.ids.items()), MAX_CLOSED_IDS)
+        self.assertEqual(self.ids.last_closing(b"0"), Closing(1, False))
 
 
 class Table(unittest.TestCase):
@@ -371,32 +369,30 @@
 
     def test_the_other_process_finds_when_an_id_was_closed(self):
         self.own.record(b"a", 5)
-        self.assertIs(self.other.was_open_at(b"a", 5, 9), WasOpen.YES)
-        self.assertIs(self.other.was_open_at(b"a", 6, 9), WasOpen.NO)
-        self.assertIs(self.other.was_open_at(b"b", 5, 9), WasOpen.NO)
+        self.assertEqual(self.other.last_closing(b"a", 9), Closing(5, True))
+        self.assertEqual(self.other.last_closing(b"b", 9), Closing(0, False))
 
     def test_a_time_of_an_earlier_boot_counts_for_nothing(self):
         self.own.record(b"a", 50)
-        self.assertIs(self.other.was_open_at(b"a", 5, 9), WasOpen.NO)
+        self.assertEqual(self.other.last_closing(b"a", 9), Closing(-1, False))
 
-    def test_an_id_whose_slot_was_taken_meanwhile_is_unknown(self):
+    def test_an_id_whose_slot_was_taken_meanwhile_is_uncertain(self):
         with mock.patch.object(closed_id_table, "SLOT_COUNT", 1):
             self.own.record(b"a", 5)
             self.own.record(b"b", 7)
-            self.assertIs(self.other.was_open_at(b"a", 5, 9), WasOpen.UNKNOWN)
-            self.assertIs(self.other.was_open_at(b"a", 8, 9), WasOpen.NO)
+            self.assertEqual(self.other.last_closing(b"a", 9), Closing(7, False))
 
     def test_a_table_that_cannot_be_had_tells_nothing(self):
         self.own.path = "/proc/none/closed-calls.json"
         self.own.record(b"a", 5)
-        self.assertIs(self.own.was_open_at(b"a", 5, 9), WasOpen.UNKNOWN)
+        self.assertIsNone(self.own.last_closing(b"a", 9))
 
     def test_a_table_that_was_deleted_is_made_anew(self):
         self.own.record(b"a", 5)
         os.remove(self.own.path)
         self.own.close_if_removed()
         self.own.record(b"a", 6)
-        self.assertIs(self.other.was_open_at(b"a", 6, 9), WasOpen.YES)
+        self.assertEqual(self.other.last_closing(b"a", 9), Closing(6, True))
 
 
 class Locks(unittest.TestCase):
