Keep the form of an executor's line as it was, and test its fields for being empty

An absent id is the empty string as before, which no request has as its id, and an absent result is the empty text, which is no JSON; both are malformed now, as is a null result.

--- a/cedarmill/net/upstream/answer_lines.py
+++ b/cedarmill/net/upstream/answer_lines.py
@@ -1,6 +1,6 @@
 """The JSON lines of an executor's answer to an attempt.
 
-A field that the protocol requires has no default here that could be taken for the executor's word.
+A line without a field that the protocol requires is malformed: no default is taken for the executor's word.
 """
 
 import msgspec
@@ -10,22 +10,22 @@
 
 # Final states of an attempt other than "done".
 OUTCOME_BY_FINAL_STATE = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
-NO_RESULT = b"null"
+NO_RESULT = (b"", b"null")
 
 
 class AttemptLine(msgspec.Struct):
     """One line of an executor's answer."""
 
     state: str
-    id: str | None = None
+    id: str = ""  # empty only if the line has none
     share: float = 0.0
-    result: msgspec.Raw = msgspec.Raw(NO_RESULT)
+    result: msgspec.Raw = msgspec.Raw(b"")  # empty only if the line has none
     load: dict[str, float] | None = None
 
     def result_text(self) -> bytes:
         """Return the result as the body of the client's answer; raise MalformedAnswer if there is none."""
         text = bytes(self.result)
-        if text == NO_RESULT:
+        if text in NO_RESULT:
             raise MalformedAnswer(BreakReason.RESULT_MISSING)
         return msgspec.json.decode(text, type=str).encode() if text[:1] == b'"' else text
 
@@ -36,7 +36,7 @@
 def decode_line(text: bytes, call_id: str) -> AttemptLine:
     """Decode a line of the answer to the request `call_id`; raise ValueError for any other line."""
     line = _LINE_DECODER.decode(text)
-    if line.id is None:
+    if not line.id:
         raise MalformedAnswer(BreakReason.ID_MISSING)
     if line.id != call_id:
         raise ValueError("answer line names another request")
