Record closed ids again only in a table made anew, and simplify what reading again found

They are written again only if the file was not open: deleted, or not to be had before.

Beside it, without a change of behaviour: an id that was never closed has one name; the age of the last input is 0 where it is unknown, which needs no case of its own; the check of a closing is flat. CallIdLocks.is_held_by_sibling was called by tests only and stands there now.

--- a/cedarmill/net/clients/closed_ids.py
+++ b/cedarmill/net/clients/closed_ids.py
@@ -18,6 +18,9 @@
     is_certain: bool  # False: the id may have been closed at any time until then, or never opened
 
 
+NEVER_CLOSED = Closing(-1, False)
+
+
 class ClosedIds:
     """The ids that were closed within `retention_us`, at most MAX_CLOSED_IDS of them."""
 
@@ -25,7 +28,7 @@
         """`retention_us`: no request is forwarded that was sent longer ago than this."""
         self._retention_us = retention_us
         self._closed_at: OrderedDict[bytes, int] = OrderedDict()  # us by id, earliest first
-        self._forgotten_until = -1  # us; ids closed by then may have been removed too early
+        self._forgotten = NEVER_CLOSED  # ids closed by then may have been removed too early
 
     def add(self, call_id: bytes, now: int) -> None:
         """Record that an id was closed at `now` (us), which never decreases."""
@@ -34,7 +37,7 @@
         while self._earliest() < now - self._retention_us:
             self._closed_at.popitem(last=False)
         if len(self._closed_at) > MAX_CLOSED_IDS:
-            self._forgotten_until = self._closed_at.popitem(last=False)[1]
+            self._forgotten = Closing(self._closed_at.popitem(last=False)[1], False)
 
     def _earliest(self) -> int:
         return next(iter(self._closed_at.values()))
@@ -46,6 +49,4 @@
     def last_closing(self, call_id: bytes) -> Closing:
         """Return when an id was last closed."""
         closed_at = self._closed_at.get(call_id)
-        if closed_at is None:
-            return Closing(self._forgotten_until, False)
-        return Closing(closed_at, True)
+        return self._forgotten if closed_at is None else Closing(closed_at, True)
--- a/cedarmill/net/clients/connection.py
+++ b/cedarmill/net/clients/connection.py
@@ -212,9 +212,7 @@
 
     def latest_arrival(self) -> int:
         """Return the latest time at which the last input may have arrived (us), which is now if unknown."""
-        now = self.driver.now()
-        age_us = last_input_age_us(self.transport)
-        return now if age_us is None else now - age_us
+        return self.driver.now() - last_input_age_us(self.transport)
 
     def drop(self) -> None:
         """Abort the connection, discard unsent output and withdraw the open request."""
--- a/cedarmill/net/clients/open_requests.py
+++ b/cedarmill/net/clients/open_requests.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from cedarmill.log import log_event
-from cedarmill.net.clients.closed_ids import ClosedIds, Closing
+from cedarmill.net.clients.closed_ids import NEVER_CLOSED, ClosedIds, Closing
 from cedarmill.net.clients.request import ClientRequest, ClientRequestError
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks, LockResult
@@ -56,8 +56,9 @@
         shared.closed_table.close_if_removed()
         for call_id in self._sessions:
             shared.locks.lock(call_id)
-        for call_id, closed_at in self._closed_ids.items():
-            shared.closed_table.record(call_id, closed_at)
+        if not shared.closed_table.is_open:
+            for call_id, closed_at in self._closed_ids.items():
+                shared.closed_table.record(call_id, closed_at)
 
     def session_of(self, call_id: bytes) -> "ClientSession | None":
         """Return the session of an open request of this process."""
@@ -88,7 +89,7 @@
         now = self._driver.now()
         closing = shared.closed_table.last_closing(call_id, now)
         if closing is None:
-            closing = Closing(now - MIN_WAIT_US if self._sibling_count else -1, False)
+            closing = Closing(now - MIN_WAIT_US, False) if self._sibling_count else NEVER_CLOSED
         try:
             self._check_closing(closing, session, message)
         except ClientRequestError:
@@ -97,12 +98,13 @@
 
     def _check_closing(self, closing: Closing, session: "ClientSession", message: ClientRequest) -> None:
         """Raise ClientRequestError if the request may have been sent before its id was closed."""
-        if message.earliest_sent_at > closing.closed_at and not (
-            closing.is_certain and session.latest_arrival() <= closing.closed_at
-        ):
-            return
+        may_be_older = message.earliest_sent_at <= closing.closed_at
         if not closing.is_certain:
-            raise _refused()
+            if may_be_older:
+                raise _refused()
+            return
+        if not may_be_older and session.latest_arrival() > closing.closed_at:
+            return
         log_event("call-id-was-open", closed_ms=(self._driver.now() - closing.closed_at) // 1000)
         raise ClientRequestError(409, "a req with this x-call-id was open")
 
--- a/cedarmill/net/socket_state.py
+++ b/cedarmill/net/socket_state.py
@@ -71,12 +71,12 @@
     return byte_count[0] > 0
 
 
-def last_input_age_us(transport: asyncio.Transport) -> int | None:
-    """Return how long ago the last input arrived at the socket, at least (us); None if that is not known."""
+def last_input_age_us(transport: asyncio.Transport) -> int:
+    """Return how long ago the last input arrived at the socket, at least (us); 0 if that is not known."""
     sock = transport.get_extra_info("socket")
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_INPUT_AGE.size)
         age_ms: int = LAST_INPUT_AGE.unpack(info)[0]
     except (*TRANSPORT_ERRORS, AttributeError, struct.error):
-        return None
+        return 0
     return max(0, age_ms * 1000 - CLOCK_TICK_ERROR_US)
--- a/cedarmill/net/upgrade/call_id_locks.py
+++ b/cedarmill/net/upgrade/call_id_locks.py
@@ -60,10 +60,3 @@
             fcntl.lockf(self._descriptor, fcntl.LOCK_UN, 1, id_checksum(call_id), os.SEEK_SET)
         except OSError as error:
             log_event("call-ids-not-shared", reason=error)
-
-    def is_held_by_sibling(self, call_id: bytes) -> bool:
-        """Return whether a sibling holds the lock of an id that this process does not hold."""
-        result = self.lock(call_id)
-        if result is LockResult.LOCKED:
-            self.unlock(call_id)
-        return result is LockResult.HELD_BY_SIBLING
--- a/cedarmill/net/upgrade/closed_id_table.py
+++ b/cedarmill/net/upgrade/closed_id_table.py
@@ -9,7 +9,7 @@
 import struct
 
 from cedarmill.log import log_event
-from cedarmill.net.clients.closed_ids import Closing
+from cedarmill.net.clients.closed_ids import NEVER_CLOSED, Closing
 from cedarmill.net.upgrade.call_id_locks import id_checksum
 from cedarmill.net.upgrade.shared_file import SharedFile
 
@@ -49,7 +49,7 @@
             return None  # The file was truncated.
         closed_checksum, closed_at = SLOT.unpack(slot)
         if closed_at > now:
-            return Closing(-1, False)  # The time is one of an earlier boot.
+            return NEVER_CLOSED  # The time is one of an earlier boot.
         return Closing(closed_at, closed_checksum == checksum)
 
 
--- a/cedarmill/net/upgrade/shared_file.py
+++ b/cedarmill/net/upgrade/shared_file.py
@@ -14,6 +14,11 @@
         self.path = state_file_path(node, kind)
         self._descriptor = -1  # -1 while the file is closed
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the file is open; what was told before it was opened is not in it."""
+        return self._descriptor >= 0
+
     def _open(self) -> int:
         """Return the descriptor; raise OSError if the file cannot be opened or prepared."""
         if self._descriptor < 0:
--- a/cedarmill/net/upstream/answer_reader.py
+++ b/cedarmill/net/upstream/answer_reader.py
@@ -33,9 +33,7 @@
         """Parse received bytes; return the exchange's end if they are malformed or over the limits."""
         try:
             self._header_sections.feed(self._open_parser(), data)
-        except (
-            Exception
-        ) as error:  # malformed HTTP, an oversized head, or an answer that violates the protocol
+        except Exception as error:  # malformed HTTP, an oversized head, or a violation of the protocol
             cause = error.__context__  # what a callback of the parser has raised
             return cause.end if isinstance(cause, MalformedAnswer) else MALFORMED_ANSWER
         finally:
--- a/tests/net/test_open_call_ids.py
+++ b/tests/net/test_open_call_ids.py
@@ -24,6 +24,7 @@
 CALL_ID = "0123456789abcdef"
 HELD_UP_S = 0.05  # the platform may hold a node up for 0.15 s
 OPEN_ID_HEADERS = {"X-Call-Id": CALL_ID}
+DUPLICATE = raw(1, "issue").replace(b"raw1", CALL_ID.encode())
 
 
 def read_status(stream: BinaryIO) -> int:
@@ -34,6 +35,14 @@
     return int(line.partition(b"HTTP/1.1 ")[2].split()[0])
 
 
+def is_held_by_sibling(locks: CallIdLocks, call_id: bytes) -> bool:
+    """Return whether another process holds the lock of an id."""
+    result = locks.lock(call_id)
+    if result is LockResult.LOCKED:
+        locks.unlock(call_id)
+    return result is LockResult.HELD_BY_SIBLING
+
+
 class TwoProcessesCase(InheritedSocketCase, FaultyNodeCase):
     """An old process with one session and a new one, which accepts all later sessions."""
 
@@ -117,8 +126,7 @@
         """Its turn comes after the other process has answered; the id was open when it was read."""
         received = self.open_request(self.old_session)
         new_session = self.start_new_process()
-        duplicate = raw(1, "issue").replace(b"raw1", CALL_ID.encode())
-        new_session.sock.sendall(raw(2) + duplicate)
+        new_session.sock.sendall(raw(2) + DUPLICATE)
         first = self.executors[0].next_request()
         received.done()
         self.assertEqual(self.old_session.answer()[0], 200)
@@ -132,7 +140,7 @@
         """Send a request with CALL_ID behind two others; return what checks that it is rejected once read."""
         session.sock.sendall(raw(2) + raw(3))
         first = self.executors[0].next_request()
-        session.sock.sendall(raw(1, "issue").replace(b"raw1", CALL_ID.encode()))
+        session.sock.sendall(DUPLICATE)
 
         def check() -> None:
             first.done()
@@ -167,7 +175,7 @@
         new_session = self.start_new_process()
         other = CallIdLocks("n0")
         other.path = f"{self.tmpdir.name}/cedarmill-n0-calls.json"
-        self.wait_for(lambda: other.is_held_by_sibling(CALL_ID.encode()))
+        self.wait_for(lambda: is_held_by_sibling(other, CALL_ID.encode()))
         self.check_rejected(new_session)
 
 
@@ -200,8 +208,7 @@
         usual = self.client().ask("issue", **OPEN_ID_HEADERS)
         received = self.next_request()
         sock = self.raw_client()
-        duplicate = raw(1, "issue").replace(b"raw1", CALL_ID.encode())
-        sock.sendall(raw(2) + duplicate + raw(3))
+        sock.sendall(raw(2) + DUPLICATE + raw(3))
         first = self.next_request()
         received.done()
         self.assertEqual(usual.answer()[0], 200)
@@ -209,16 +216,13 @@
         third = self.next_request()
         self.assertEqual(third.headers["X-Call-Id"], "raw3")
         third.done()
-        stream, statuses = sock.makefile("rb"), []
-        while len(statuses) < 3:
-            line = stream.readline()
-            statuses += [int(line.split()[1])] if b"HTTP/1.1 " in line else []
-        self.assertEqual(statuses, [200, 409, 200])
+        stream = sock.makefile("rb")
+        self.assertEqual([read_status(stream) for _ in range(3)], [200, 409, 200])
 
     def test_the_id_of_a_queued_request_is_its_own(self):
         """Guards against a bad client that has a queued request's id run before it, so that it runs twice."""
         sock = self.raw_client()
-        sock.sendall(raw(2) + raw(1, "issue").replace(b"raw1", CALL_ID.encode()))
+        sock.sendall(raw(2) + DUPLICATE)
         first = self.next_request()
         self.assertEqual(self.client().ask("issue", **OPEN_ID_HEADERS).answer()[0], 409)
         first.done()
@@ -232,7 +236,7 @@
 
     def test_the_id_of_a_queued_request_is_closed_when_its_client_leaves(self):
         sock = self.raw_client()
-        sock.sendall(raw(2) + raw(1, "issue").replace(b"raw1", CALL_ID.encode()))
+        sock.sendall(raw(2) + DUPLICATE)
         first = self.next_request()
         sock.close()
         self.assertTrue(first.connection.ended.wait(WAIT))  # The node cancels the attempt.
@@ -245,7 +249,6 @@
     """Guards against an id that is compared only when it is read, so that a request runs twice: review/6."""
 
     executor_count = 2
-    duplicate = raw(1, "issue").replace(b"raw1", CALL_ID.encode())
 
     def setUp(self) -> None:
         super().setUp()
@@ -279,7 +282,7 @@
         sock = self.raw_client()
         sock.sendall(raw(2) + raw(3))
         second = self.next_request()
-        sock.sendall(self.duplicate)
+        sock.sendall(DUPLICATE)
         self.finish_usual()
         self.assertEqual(self.usual.sock.recv(1, socket.MSG_PEEK), b"H")  # It is answered.
         second.done()
@@ -295,7 +298,7 @@
         self.wait_until_read()  # Else the system may still report this socket first.
         self.pause()
         self.finish_usual()
-        sock.sendall(self.duplicate)
+        sock.sendall(DUPLICATE)
         self.resume()
         self.check_statuses(sock, [409])
 
@@ -305,7 +308,7 @@
         self.finish_usual()
         silent = [self.raw_client() for _ in range(ACCEPT_BATCH + 1)]
         sock = self.raw_client()
-        sock.sendall(self.duplicate)
+        sock.sendall(DUPLICATE)
         self.resume()
         self.check_statuses(sock, [409])
         self.assertEqual(len(silent), ACCEPT_BATCH + 1)
@@ -316,11 +319,11 @@
         sock.sendall(raw(2))
         self.next_request().done()
         self.assertEqual(read_status(sock.makefile("rb")), 200)
-        sock.sendall(self.duplicate[:-1])
+        sock.sendall(DUPLICATE[:-1])
         self.wait_until_read()
         self.finish_usual()
         self.assertEqual(self.usual.sock.recv(1, socket.MSG_PEEK), b"H")
-        sock.sendall(self.duplicate[-1:])
+        sock.sendall(DUPLICATE[-1:])
         self.check_statuses(sock, [409])
 
     def wait_until_read(self) -> None:
@@ -406,7 +409,7 @@
         locks = CallIdLocks("n0")
         locks.path = "/proc/none/calls.json"
         self.assertIs(locks.lock(b"a"), LockResult.UNAVAILABLE)
-        self.assertFalse(locks.is_held_by_sibling(b"a"))
+        self.assertFalse(is_held_by_sibling(locks, b"a"))
         locks.unlock(b"a")
 
 
