Count the messages that a node keeps for its peers, and log when they are at their bound

Small messages are not counted one by one. The bound is what limits.memory_mb leaves beside the process itself, shared with sibling processes; above it the log says `messages-full` and which kind of message costs most, by bytes and time. Nothing is ended yet: that is the mend.

--- a/cedarmill/admin/resource_split.py
+++ b/cedarmill/admin/resource_split.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 MIN_PER_PROCESS = 16  # Sessions, and as many upstream connections, guaranteed to each process.
+BYTES_PER_MB = 1024 * 1024
 
 
 class ConnectionCounts(NamedTuple):
@@ -38,6 +39,16 @@
     )
 
 
+def message_memory_bytes(limits: NodeLimits, processes: int) -> int:
+    """Return what each of a node's processes may keep of its peers' messages.
+
+    It is never less than a request and an answer of each guaranteed session take.
+    """
+    share_mb = limits.memory_mb / processes - limits.own_memory_mb
+    guaranteed_mb = MIN_PER_PROCESS * 2 * limits.session_mb
+    return int(max(share_mb, guaranteed_mb) * BYTES_PER_MB)
+
+
 def _remaining_limit(single_process: int, shared: int, open_elsewhere: int) -> int:
     return max(min(MIN_PER_PROCESS, single_process), shared - open_elsewhere)
 
--- a/cedarmill/net/clients/connection.py
+++ b/cedarmill/net/clients/connection.py
@@ -9,7 +9,8 @@
 from operator import methodcaller
 
 from cedarmill.core.client_session import SessionLifecycle
-from cedarmill.core.client_session_events import SessionAction, SessionEvent
+from cedarmill.core.client_session_events import SessionAction, SessionEvent, SessionState
+from cedarmill.core.memory_budget import MemoryBudget, MessageKind
 from cedarmill.core.timers import SingleTimer
 from cedarmill.log import log_event
 from cedarmill.net.clients import limits
@@ -29,10 +30,14 @@
     transport: asyncio.Transport  # Set by `connection_made`.
 
     def __init__(
-        self, driver: EventLoopDriver, is_half_close_disconnect: bool, unread_since: int | None
+        self,
+        driver: EventLoopDriver,
+        memory: MemoryBudget,
+        is_half_close_disconnect: bool,
+        unread_since: int | None,
     ) -> None:
         """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us)."""
-        self.driver = driver
+        self.driver, self.memory = driver, memory
         self.unread_since = unread_since  # Also set while reading is paused.
         self.created_at = driver.now()
         self.lifecycle = SessionLifecycle(
@@ -67,6 +72,27 @@
         """Register the connection as idle, so that the server may close it to make room for others."""
         raise NotImplementedError
 
+    def request_bytes(self) -> int:
+        """Return the bytes that are kept of requests."""
+        raise NotImplementedError
+
+    # Memory.
+
+    def count_memory(self) -> None:
+        """Count what is kept of the client's requests and of answers that it has not read."""
+        self.memory.update(self, self.driver.now())
+
+    def held_bytes(self) -> int:
+        """Return the bytes of requests and of unread answers that are kept."""
+        if self.lifecycle.state >= SessionState.GONE:
+            return 0
+        return self.request_bytes() + self.transport.get_write_buffer_size()
+
+    def message_kind(self) -> MessageKind:
+        """Return the kind of the messages that take most memory."""
+        is_mostly_unread = self.transport.get_write_buffer_size() > self.request_bytes()
+        return MessageKind.UNREAD_ANSWERS if is_mostly_unread else MessageKind.CLIENT_REQUEST
+
     # Events and actions of the state machine.
 
     def handle(self, event: SessionEvent) -> None:
--- a/cedarmill/net/clients/request.py
+++ b/cedarmill/net/clients/request.py
@@ -1,6 +1,7 @@
 """An HTTP request of a client and the error for a request that is rejected."""
 
 import math
+import sys
 
 
 class ClientRequestError(Exception):
@@ -48,6 +49,11 @@
         """Return an upper bound of the bytes that are kept of the request."""
         return self.head_bytes + len(self.body)
 
+    @property
+    def allocated_bytes(self) -> int:
+        """Return the memory that the head and the body take."""
+        return self.head_bytes + sys.getsizeof(self.body)
+
     def discard_content(self) -> None:
         """Free the headers and the body of a request that is not forwarded."""
         self.headers, self.body, self.head_bytes = {}, bytearray(), 0
--- a/cedarmill/net/clients/request_reader.py
+++ b/cedarmill/net/clients/request_reader.py
@@ -1,5 +1,6 @@
 """Parses the byte stream of a client into requests; a parse error becomes a request with an error."""
 
+import sys
 from collections import deque
 from typing import Protocol
 
@@ -61,6 +62,12 @@
         self.incomplete = None
         del self._parser, self._sink
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept of incomplete and queued requests."""
+        held = self._header_sections.held_bytes + sum(message.allocated_bytes for message in self.requests)
+        return held + (sys.getsizeof(self.incomplete.body) if self.incomplete is not None else 0)
+
     def feed(self, data: bytes) -> None:
         """Parse input; a parse error queues a request that carries the error."""
         try:
--- a/cedarmill/net/clients/server.py
+++ b/cedarmill/net/clients/server.py
@@ -4,6 +4,7 @@
 from itertools import islice
 
 from cedarmill.core.dispatch import Dispatch
+from cedarmill.core.memory_budget import MemoryBudget
 from cedarmill.decisions import interface as api
 from cedarmill.log import log_event
 from cedarmill.net.clients import limits
@@ -45,9 +46,16 @@
     _acceptor: Acceptor  # Set by `listen`.
 
     def __init__(
-        self, driver: EventLoopDriver, settings: api.Settings, max_sessions: int, options: DeadlineOptions
+        self,
+        driver: EventLoopDriver,
+        settings: api.Settings,
+        max_sessions: int,
+        options: DeadlineOptions,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        """`memory`: counts the messages that the sessions keep."""
         self.driver, self.max_sessions, self.options = driver, max_sessions, options
+        self.memory = memory or MemoryBudget()
         self.used_headers = USED_HEADERS.union(name.encode() for name in options.sources)
         self.classes = {spec.name: n for n, spec in enumerate(settings.classes)}
         self.deadlines = [spec.deadline_us for spec in settings.classes]
@@ -119,6 +127,7 @@
     def add(self, session: ClientSession) -> None:
         """Register a new session."""
         self.sessions.add(session)
+        self.memory.add_connection()
         self.unproven_sessions[session] = None
 
     def record_valid_request(self, session: ClientSession) -> None:
@@ -137,6 +146,8 @@
     def remove(self, session: ClientSession) -> None:
         """Unregister a closed session, and resume accepting."""
         self.sessions.discard(session)
+        self.memory.remove_connection()
+        self.memory.remove(session)
         self.unproven_sessions.pop(session, None)
         self.idle_sessions.pop(session, None)
         self._acceptor.resume()
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -35,7 +35,7 @@
 
     def __init__(self, server: "ClientServer", unread_since: int | None = None) -> None:
         """`unread_since`: earliest time at which input may have been waiting in the accept backlog (us)."""
-        super().__init__(server.driver, server.options.half_close == "leaves", unread_since)
+        super().__init__(server.driver, server.memory, server.options.half_close == "leaves", unread_since)
         self.server = server
         self.reader = RequestReader(self, server.used_headers)
         self.current_message: ClientRequest | None = None
@@ -73,6 +73,7 @@
         """Serve queued requests again."""
         self.handle(SessionEvent.WRITING_RESUMED)
         self.serve_queued_requests()
+        self.count_memory()
 
     @guarded_callback
     def data_received(self, data: bytes) -> None:
@@ -86,6 +87,7 @@
             if not has_waiting_input:
                 self.unread_since = None
             self.serve_queued_requests()
+            self.count_memory()
         else:
             self.discarded_bytes += len(data)
             self.set_reading_paused(self.discarded_bytes > limits.MAX_DISCARDED_BYTES)
@@ -137,6 +139,11 @@
         """Register the session as idle, so that the server may close it to make room."""
         self.server.list_idle(self)
 
+    def request_bytes(self) -> int:
+        """Return the bytes that are kept of requests."""
+        current_bytes = self.current_message.allocated_bytes if self.current_message is not None else 0
+        return current_bytes + self.reader.held_bytes
+
     # Operations that the server requests.
 
     @property
@@ -280,3 +287,4 @@
         last = lifecycle.is_last_answer(message.keep_alive, server.closing or server.is_draining_clients)
         if self.send(response.compose(message, status, body, headers, last)):
             self.handle(_LAST_ANSWER_WRITTEN if last else _ANSWER_WRITTEN)
+        self.count_memory()
--- a/cedarmill/net/discovery/client.py
+++ b/cedarmill/net/discovery/client.py
@@ -14,6 +14,7 @@
     WatchEvent,
 )
 from cedarmill.core.dispatch import Dispatch
+from cedarmill.core.memory_budget import MemoryBudget
 from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions import interface as api
 from cedarmill.log import log_event
@@ -39,8 +40,11 @@
         address: Address,
         pools: UpstreamPools,
         random: Random | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        """`memory`: counts what is kept of an incomplete list."""
         self.driver, self.address, self.pools = driver, address, pools
+        self.memory = memory or MemoryBudget()
         self.reader = EndpointReader(settings)
         self.index = 0
         self.is_pushed = not settings.on_request_discovery
--- a/cedarmill/net/discovery/list_stream.py
+++ b/cedarmill/net/discovery/list_stream.py
@@ -1,5 +1,6 @@
 """Splits the body of discovery's answer into lists: JSON documents on one line each or indented over many."""
 
+import sys
 from typing import Any
 
 import msgspec
@@ -81,6 +82,11 @@
         self._line_is_blank = True  # whether the incomplete line holds only white space so far
         self._document_started = False  # whether the buffer holds a complete line of an unfinished document
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept of an incomplete list."""
+        return sys.getsizeof(self._buffer)
+
     @property
     def has_partial_list(self) -> bool:
         """Return whether a list has started that is not complete yet."""
--- a/cedarmill/net/discovery/watch_connection.py
+++ b/cedarmill/net/discovery/watch_connection.py
@@ -7,6 +7,7 @@
 import httptools
 
 from cedarmill.core.discovery_watch import WatchEvent
+from cedarmill.core.memory_budget import MessageKind
 from cedarmill.net.config import Address
 from cedarmill.net.discovery.endpoints import Listing
 from cedarmill.net.discovery.list_stream import ListStream
@@ -78,6 +79,7 @@
         except Exception as error:
             self.fail(f"malformed answer: {error.__context__ or error}")
         if not self.closed:
+            self.client.memory.update(self, self.driver.now())
             self.client.on_watch_event(
                 WatchEvent.PARTIAL_LIST_RECEIVED if self.lists.has_partial_list else WatchEvent.DATA_RECEIVED
             )
@@ -113,6 +115,14 @@
             self.client.on_listing(listing)
             self.has_listing = True
 
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept of an incomplete list."""
+        return self.lists.held_bytes
+
+    def message_kind(self) -> MessageKind:
+        """Return the kind of the messages that are kept."""
+        return MessageKind.ENDPOINT_LIST
+
     def eof_received(self) -> None:
         """Leave the closing to the event loop, which calls connection_lost."""
 
@@ -133,6 +143,7 @@
     def close(self) -> None:
         """Close the connection, as ordered by the state machine."""
         self.closed = True
+        self.client.memory.remove(self)
         if self._connecting is not None:
             self._connecting.cancel()
         if self.transport is not None:
--- a/cedarmill/net/header_sections.py
+++ b/cedarmill/net/header_sections.py
@@ -32,6 +32,11 @@
         self._unreported_bytes = 0  # fed since the last callback of the parser, which may keep it
         self.size = 0  # reported bytes of the message's header sections
 
+    @property
+    def held_bytes(self) -> int:
+        """Return an upper bound of what is kept of the message's header sections, reported or not."""
+        return self.size + self._unreported_bytes
+
     def feed(self, parser: Parser, data: bytes) -> None:
         """Parse input; raises HeaderSectionTooLarge and the errors of the parser."""
         if len(data) <= PARSER_INPUT_BYTES:
@@ -44,7 +49,7 @@
     def _feed_part(self, parser: Parser, data: bytes | memoryview) -> None:
         self._unreported_bytes += len(data)
         parser.feed_data(data)
-        if self.size + self._unreported_bytes > self._max_bytes:
+        if self.held_bytes > self._max_bytes:
             raise HeaderSectionTooLarge("the head is too large")
 
     def start_message(self) -> None:
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -11,8 +11,9 @@
 import uvloop
 
 from cedarmill import log
-from cedarmill.admin.resource_split import ConnectionCounts, NodeLimits, split_limits
+from cedarmill.admin.resource_split import ConnectionCounts, NodeLimits, message_memory_bytes, split_limits
 from cedarmill.core.dispatch import Dispatch
+from cedarmill.core.memory_budget import MemoryBudget
 from cedarmill.core.timers import Timers
 from cedarmill.deadlines.propagation import DeadlineTracker
 from cedarmill.decisions.balancer import Balancer
@@ -57,11 +58,14 @@
         self.driver = EventLoopDriver(self.loop, self.timers)
         self.limits = self._node_limits()
         own_limits = split_limits(self.limits, [])
+        self.memory = MemoryBudget(message_memory_bytes(self.limits, processes=1))
         deadline_tracker = DeadlineTracker(options.deadlines, len(settings.classes))
-        self.clients = ClientServer(self.driver, settings, own_limits.sessions, options.deadlines)
-        self.pools = UpstreamPools(self.driver, settings, own_limits.connections, options)
+        self.clients = ClientServer(
+            self.driver, settings, own_limits.sessions, options.deadlines, self.memory
+        )
+        self.pools = UpstreamPools(self.driver, settings, own_limits.connections, options, self.memory)
         self.discovery = DiscoveryClient(
-            self.driver, settings, config.discovery, self.pools, Random(config.seed)
+            self.driver, settings, config.discovery, self.pools, Random(config.seed), self.memory
         )
         balancer = Balancer(settings, config.seed)
         self.dispatch = Dispatch(balancer, self.timers, self.pools, self.discovery, deadline_tracker)
@@ -78,15 +82,19 @@
         self.reload = ConfigurationReload(self.driver, path, config, self.discovery, self._is_draining)
         class_names = [spec.name for spec in settings.classes]
         self.waste_log = WasteLog(self.driver, deadline_tracker, class_names, options.waste_log_interval_us)
-        self.admin_handlers = AdminHandlers(
-            self.driver, self.clients, self.discovery, config.name, self._is_draining
-        )
-        self.admin_server = admin.AdminServer(self.driver, self.admin_handlers.handle)
+        self._create_admin_api()
         self.warm_state = WarmStateSaver(
             self.driver, balancer, self.discovery, config.name, self._is_draining
         )
         self.cluster_role = self._create_role(options.cluster) if options.cluster is not None else None
 
+    def _create_admin_api(self) -> None:
+        """Create the admin API's handlers and its server."""
+        self.admin_handlers = AdminHandlers(
+            self.driver, self.clients, self.discovery, self.config.name, self._is_draining
+        )
+        self.admin_server = admin.AdminServer(self.driver, self.admin_handlers.handle)
+
     def _node_limits(self) -> NodeLimits:
         """Return the limits shared by all processes of the node, and what each process uses itself."""
         health, configured = self.options.health, self.config.limits
@@ -113,6 +121,7 @@
     def _apply_sibling_counts(self, siblings: list[ConnectionCounts]) -> None:
         """Limit this process to the sessions and connections that the node's other processes leave."""
         self.clients.max_sessions, self.pools.max_connections = split_limits(self.limits, siblings)
+        self.memory.limit_bytes = message_memory_bytes(self.limits, processes=1 + len(siblings))
         self.clients.open_requests.set_sibling_count(len(siblings))
 
     def _listen_for_health_checks(self) -> None:
--- a/cedarmill/net/upstream/answer_reader.py
+++ b/cedarmill/net/upstream/answer_reader.py
@@ -40,6 +40,11 @@
             self._answer_bytes += len(data)
         return None if self._answer_bytes <= MAX_ANSWER_BYTES else MALFORMED_ANSWER
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept of the current answer."""
+        return self._header_sections.held_bytes + (self.exchange.held_bytes if self.exchange else 0)
+
     def close(self) -> None:
         """Drop the parser, which would otherwise form a reference cycle with this object."""
         self._parser = None
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -12,6 +12,7 @@
 import errno
 from typing import TYPE_CHECKING, cast
 
+from cedarmill.core.memory_budget import MessageKind
 from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.loop import guarded_callback
@@ -140,6 +141,7 @@
         end = exchange.pending_end or malformed_end
         if end is not None:
             exchange.finish(now, end)
+        self.count_memory()
 
     def _release_after_answer(self, exchange: "Exchange") -> None:
         assert self.transport is not None
@@ -183,7 +185,7 @@
 
     def discard(self) -> None:
         """Close the connection without finishing its exchange."""
-        self.exchange = self.answer.exchange = None
+        self._detach_exchange()
         self.closed = True
         self._cancel_timers()
         self.pool.remove_connection(self)
@@ -192,6 +194,11 @@
         if self.transport is not None:
             self._abort_transport()
 
+    def _detach_exchange(self) -> None:
+        """Forget the exchange and what was kept of its messages."""
+        self.exchange = self.answer.exchange = None
+        self.pools.memory.remove(self)
+
     def _cancel_timers(self) -> None:
         self._state_timer.cancel()
         self.writer.cancel_timers()
@@ -211,7 +218,7 @@
     def half_close(self) -> None:
         """Drop the exchange and shut down the sending side, which makes the executor stop and close."""
         assert self.transport is not None
-        self.exchange = self.answer.exchange = None
+        self._detach_exchange()
         self._cancel_timers()
         try:
             self.transport.write_eof()
@@ -224,11 +231,25 @@
         """Abort at `due` (us), unless the state changes before."""
         self._state_timer.start(due, lambda now: self.abort(reason))
 
+    # Memory.
+
+    def count_memory(self) -> None:
+        """Count what is kept of the current exchange's messages."""
+        self.pools.memory.update(self, self.driver.now())
+
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept of the current exchange's request and answer."""
+        return self.answer.held_bytes + self.writer.unsent_bytes if self.exchange is not None else 0
+
+    def message_kind(self) -> MessageKind:
+        """Return the kind of the messages that are kept."""
+        return MessageKind.EXECUTOR_ANSWER
+
     # Idle.
 
     def _return_to_pool(self) -> None:
         """Put the connection into its pool's idle list."""
-        self.exchange = self.answer.exchange = None
+        self._detach_exchange()
         self.reused = True
         self.idle_since = self.driver.now()
         self.pool.idle.append(self)
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -4,6 +4,7 @@
 The sockets are in `net/upstream/connection.py`.
 """
 
+import sys
 from typing import TYPE_CHECKING
 
 from cedarmill.core.requests import Attempt
@@ -75,6 +76,11 @@
     def on_written(self, now: int) -> None:
         """Handle the request's last byte leaving this process."""
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept of the answer's body."""
+        return sys.getsizeof(self.body)
+
     def on_headers(self) -> None:
         """Handle the answer's status and headers."""
 
--- a/cedarmill/net/upstream/pool.py
+++ b/cedarmill/net/upstream/pool.py
@@ -3,6 +3,7 @@
 from typing import cast
 
 from cedarmill.core.dispatch import Dispatch
+from cedarmill.core.memory_budget import MemoryBudget
 from cedarmill.core.requests import Attempt, Probe
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
@@ -43,6 +44,7 @@
         connection = UpstreamConnection(self, exchange)
         self.connections.add(connection)
         self.pools.connection_count += 1
+        self.pools.memory.add_connection()
         connection.open()
 
     def _select_idle(self, exchange: Exchange, now: int) -> UpstreamConnection | None:
@@ -64,6 +66,7 @@
         if connection in self.connections:
             self.connections.remove(connection)
             self.pools.connection_count -= 1
+            self.pools.memory.remove_connection()
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -78,8 +81,17 @@
 
     dispatch: Dispatch  # set by the node after construction
 
-    def __init__(self, driver: EventLoopDriver, settings: api.Settings, limit: int, options: Options) -> None:
+    def __init__(
+        self,
+        driver: EventLoopDriver,
+        settings: api.Settings,
+        limit: int,
+        options: Options,
+        memory: MemoryBudget | None = None,
+    ) -> None:
+        """`limit`: number of connections; `memory`: counts the messages that are kept."""
         self.driver, self.settings, self.max_connections, self.options = driver, settings, limit, options
+        self.memory = memory or MemoryBudget()
         self.pools_by_number: dict[int, UpstreamPool] = {}
         self.connection_count = 0  # of all pools, kept up to date instead of summed for each new connection
         self.idle_reuse_paused_until = 0  # us; set when an idle connection breaks under a request
--- a/cedarmill/net/upstream/request_writer.py
+++ b/cedarmill/net/upstream/request_writer.py
@@ -50,10 +50,17 @@
             delay_us = LAST_BYTE_DELAY_US if exchange.is_unsafe else 0
             self._last_byte_timer.start(now + delay_us, self._send_last_byte)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of the request that the transport still keeps."""
+        transport = self._connection.transport
+        return 0 if self.written or transport is None else transport.get_write_buffer_size()
+
     def on_buffer_empty(self) -> None:
         """Handle the transport's write buffer becoming empty."""
         if self.handed_to_transport and not self.written:
             self._on_flushed()
+        self._connection.count_memory()
 
     def withhold_last_byte(self) -> None:
         """Never send a last byte that is still held back, because the executor has answered without it."""
@@ -74,6 +81,8 @@
         except TRANSPORT_ERRORS:  # the socket broke, and none of these bytes has left
             connection.abort(BreakReason.CONNECTION_FAILED)
             return
+        if has_unsent_bytes:
+            connection.count_memory()
         if self._held_last_byte or transport.is_closing():  # if closing, connection_lost follows
             return
         self.handed_to_transport = True
