End the costliest messages of peers before they take a node over its memory limit

A node of 32 MB was killed for memory after 6 s, and some 70 requests that it held got no answer.

Cause: every limit was one connection's, and the only limit on all of them gave the whole memory to client sessions. So attempts in flight times 256 KiB decided, and spoilt attempts stay until their deadline.

Change: above the bound of the budget, the messages with the largest product of bytes and time are ended with the error owed to their peer: an attempt as one that may have run, an unfinished request of a client with 503, a client that does not read by closing. A line longer than the protocol allows (64 KiB of result, 16 KiB of other fields, escapes not counted) has 1 s to end, so its request goes elsewhere long before its deadline; its hard limits are 256 KiB without and 400 KiB with its escapes. A load report of a probe may take 16 KiB.

Client.answered of the tests polls, since a test with many connections goes beyond select's 1,024 descriptors.

--- a/cedarmill/admin/resource_split.py
+++ b/cedarmill/admin/resource_split.py
@@ -40,13 +40,8 @@
 
 
 def message_memory_bytes(limits: NodeLimits, processes: int) -> int:
-    """Return what each of a node's processes may keep of its peers' messages.
-
-    It is never less than a request and an answer of each guaranteed session take.
-    """
-    share_mb = limits.memory_mb / processes - limits.own_memory_mb
-    guaranteed_mb = MIN_PER_PROCESS * 2 * limits.session_mb
-    return int(max(share_mb, guaranteed_mb) * BYTES_PER_MB)
+    """Return what each of a node's processes may use for its connections and their messages."""
+    return max(0, int((limits.memory_mb / processes - limits.own_memory_mb) * BYTES_PER_MB))
 
 
 def _remaining_limit(single_process: int, shared: int, open_elsewhere: int) -> int:
--- a/cedarmill/core/memory_budget.py
+++ b/cedarmill/core/memory_budget.py
@@ -5,6 +5,9 @@
 at its end. Messages that are small are not counted one by one; each connection counts with a fixed cost that
 covers them.
 
+Above the limit the messages that cost most are ended: those with the largest product of their bytes and the
+time for which they have been kept. A peer cannot lower that product but by finishing its message.
+
 Times are whole microseconds of the node's monotonic clock.
 """
 
@@ -17,6 +20,8 @@
 # The cost of a connection with its protocol objects, buffers and a message that is not counted.
 CONNECTION_BYTES = 8 * 1024
 MIN_COUNTED_BYTES = 2 * 1024  # smaller messages are part of CONNECTION_BYTES
+# Kept for messages even if the connections take all: a request and an answer of 80 KiB for 16 clients.
+GUARANTEED_BYTES = 16 * 2 * 80 * 1024
 UNLIMITED = sys.maxsize
 
 
@@ -38,6 +43,9 @@
     def message_kind(self) -> MessageKind:
         """Return what most of them belong to."""
 
+    def end_costly_message(self) -> bool:
+        """End a message that need not be kept, with the error owed to its peer; return whether it did."""
+
 
 class HeldMessages(NamedTuple):
     """What a holder keeps, and since when it has kept anything that counts (us)."""
@@ -58,11 +66,13 @@
         self._held: dict[MemoryHolder, HeldMessages] = {}
         self._message_bytes = 0  # the sum of `_held`
         self._connection_count = 0
+        self._is_freeing = False
 
     @property
-    def held_bytes(self) -> int:
-        """Return the bytes of all messages and connections."""
-        return self._message_bytes + self._connection_count * CONNECTION_BYTES
+    def is_exceeded(self) -> bool:
+        """Return whether the messages take more than the connections leave of the limit."""
+        available_bytes = self.limit_bytes - self._connection_count * CONNECTION_BYTES
+        return self._message_bytes > max(available_bytes, GUARANTEED_BYTES)
 
     def add_connection(self) -> None:
         """Count a connection that was opened."""
@@ -74,6 +84,11 @@
 
     def update(self, holder: MemoryHolder, now: int) -> None:
         """Count what a holder keeps at present."""
+        self._count(holder, now)
+        if self.is_exceeded and not self._is_freeing:
+            self._free(now)
+
+    def _count(self, holder: MemoryHolder, now: int) -> None:
         size = holder.held_bytes()
         if size < MIN_COUNTED_BYTES:
             self.remove(holder)
@@ -81,8 +96,6 @@
         previous = self._held.get(holder)
         self._message_bytes += size - (previous.size if previous is not None else 0)
         self._held[holder] = HeldMessages(size, previous.since if previous is not None else now)
-        if self.held_bytes > self.limit_bytes:
-            self._on_limit_exceeded(now)
 
     def remove(self, holder: MemoryHolder) -> None:
         """Stop counting a holder's messages; no effect if it has none."""
@@ -90,6 +103,28 @@
         if held is not None:
             self._message_bytes -= held.size
 
-    def _on_limit_exceeded(self, now: int) -> None:
-        costliest = max(self._held, key=lambda holder: self._held[holder].cost(now))
-        log_event("messages-full", bound_kib=self.limit_bytes // 1024, kind=costliest.message_kind().value)
+    def _free(self, now: int) -> None:
+        """End the costliest messages until the rest is within the limit."""
+        self._is_freeing = True
+        try:
+            for holder in list(self._held):
+                self._count(holder, now)  # a peer may have read since
+            costliest_first = sorted(
+                self._held, key=lambda holder: self._held[holder].cost(now), reverse=True
+            )
+            for holder in costliest_first:
+                if not self.is_exceeded:
+                    break
+                if holder in self._held:  # else it has ended with another one's message
+                    self._end_message(holder, now)
+        finally:
+            self._is_freeing = False
+
+    def _end_message(self, holder: MemoryHolder, now: int) -> None:
+        kind = holder.message_kind()
+        try:
+            if holder.end_costly_message():
+                log_event("messages-full", bound_kib=self.limit_bytes // 1024, kind=kind.value)
+        except Exception:  # of this holder only: the caller is another one
+            log_event("defect", True, what="the end of a message")
+        self._count(holder, now)
--- a/cedarmill/log_events.py
+++ b/cedarmill/log_events.py
@@ -45,7 +45,7 @@
     "sessions-full": Event(logging.WARNING, "client sessions at their bound of {bound}, new ones wait"),
     "accept-failed": Event(logging.WARNING, "accept failed: {reason}", ("listener",)),
     "session-not-opened": Event(logging.WARNING, "client session did not open: {reason}", ("listener",)),
-    "messages-full": Event(logging.WARNING, "messages at their bound of {bound_kib} KiB; {kind} costs most"),
+    "messages-full": Event(logging.WARNING, "messages at their bound of {bound_kib} KiB, ended: {kind}"),
     "executor-connections-full": Event(logging.WARNING, "executor connections at their bound of {bound}"),
     "attempt-broken": Event(
         logging.WARNING, "the connection of an attempt in flight broke: {reason}", ("executor",)
--- a/cedarmill/net/clients/connection.py
+++ b/cedarmill/net/clients/connection.py
@@ -14,6 +14,7 @@
 from cedarmill.core.timers import SingleTimer
 from cedarmill.log import log_event
 from cedarmill.net.clients import limits
+from cedarmill.net.clients.request import ClientRequestError, request_timeout_error
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.socket_state import (
     TRANSPORT_ERRORS,
@@ -56,8 +57,8 @@
         """Withdraw the open request and discard the queued ones, because the client has disconnected."""
         raise NotImplementedError
 
-    def answer_timeout(self) -> None:
-        """Answer the incomplete request with a timeout error."""
+    def reject_incomplete_request(self, fault: ClientRequestError) -> None:
+        """Answer the incomplete request with an error, after the responses that precede it."""
         raise NotImplementedError
 
     def answer_pending(self) -> None:
@@ -93,6 +94,16 @@
         is_mostly_unread = self.transport.get_write_buffer_size() > self.request_bytes()
         return MessageKind.UNREAD_ANSWERS if is_mostly_unread else MessageKind.CLIENT_REQUEST
 
+    def end_costly_message(self) -> bool:
+        """Refuse the unfinished request, or close if the client does not read; return whether it did."""
+        if self.lifecycle.is_open and self.lifecycle.is_receiving:
+            self.reject_incomplete_request(ClientRequestError(503, "refused"))
+            return True
+        if not self.transport.get_write_buffer_size():
+            return False  # Requests that were read whole are served.
+        self.drop()
+        return True
+
     # Events and actions of the state machine.
 
     def handle(self, event: SessionEvent) -> None:
@@ -135,6 +146,10 @@
             log_event("defect", True, what="a turn of a session")
             self.abort()
 
+    def answer_timeout(self) -> None:
+        """Answer the incomplete request with a timeout error."""
+        self.reject_incomplete_request(request_timeout_error())
+
     def _check_unread(self) -> None:
         self.handle(SessionEvent.BYTES_UNREAD if self.has_unread_input() else SessionEvent.NOTHING_UNREAD)
 
--- a/cedarmill/net/clients/request.py
+++ b/cedarmill/net/clients/request.py
@@ -12,6 +12,11 @@
         self.status = status
 
 
+def request_timeout_error() -> ClientRequestError:
+    """Return the error for a request that stays incomplete for too long."""
+    return ClientRequestError(408, "the request did not arrive in time")
+
+
 class ClientRequest:
     """An HTTP request, filled in by the parser as its parts arrive."""
 
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -9,7 +9,7 @@
 from cedarmill.log import log_event
 from cedarmill.net.clients import limits, response, routes
 from cedarmill.net.clients.connection import ACTION_HANDLERS, ClientConnection
-from cedarmill.net.clients.request import ClientRequest, ClientRequestError
+from cedarmill.net.clients.request import ClientRequest, ClientRequestError, request_timeout_error
 from cedarmill.net.clients.request_reader import RequestReader
 from cedarmill.net.loop import guarded_callback
 
@@ -26,10 +26,6 @@
 _SERVE = SessionAction.SERVE
 
 
-def _request_timeout_error() -> ClientRequestError:
-    return ClientRequestError(408, "the request did not arrive in time")
-
-
 class ClientSession(ClientConnection):
     """One client connection: asyncio protocol, request sink and receiver of results from the dispatch."""
 
@@ -130,9 +126,9 @@
                 self.server.open_requests.remove(message)
         self.reader.requests.clear()
 
-    def answer_timeout(self) -> None:
-        """Answer the incomplete request with 408, after the responses that precede it."""
-        self.reader.reject(_request_timeout_error())
+    def reject_incomplete_request(self, fault: ClientRequestError) -> None:
+        """Answer the incomplete request with an error, after the responses that precede it."""
+        self.reader.reject(fault)
         self.serve_queued_requests()
 
     def list_as_idle(self) -> None:
@@ -187,7 +183,7 @@
     def answer_pending(self) -> None:
         """Answer queued requests with 503 and an incomplete one with 408: the client reads no responses."""
         if self.reader.incomplete is not None:
-            self.reader.reject(_request_timeout_error())
+            self.reader.reject(request_timeout_error())
         self._answer_pending(503, 503)
 
     def _answer_pending(self, in_flight_status: int, unsent_status: int) -> None:
@@ -287,4 +283,5 @@
         last = lifecycle.is_last_answer(message.keep_alive, server.closing or server.is_draining_clients)
         if self.send(response.compose(message, status, body, headers, last)):
             self.handle(_LAST_ANSWER_WRITTEN if last else _ANSWER_WRITTEN)
+        self.memory.remove(self)  # the answer is kept from now on, whenever its request came
         self.count_memory()
--- a/cedarmill/net/discovery/watch_connection.py
+++ b/cedarmill/net/discovery/watch_connection.py
@@ -123,6 +123,10 @@
         """Return the kind of the messages that are kept."""
         return MessageKind.ENDPOINT_LIST
 
+    def end_costly_message(self) -> bool:
+        """Keep the list, without which drains would not be known; it has a limit of its own."""
+        return False
+
     def eof_received(self) -> None:
         """Leave the closing to the event loop, which calls connection_lost."""
 
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -31,7 +31,8 @@
 # An executor may send a second answer this long after the first; it must not be read as the next request's.
 DUPLICATE_ANSWER_WINDOW_US = 50_000
 ABORT_RETRY_US = 20_000  # delay before a failed abort of a transport is repeated
-ANSWER_END_TIMEOUT_US = 1_000_000  # time for an HTTP message to end after its final line
+# Time for an HTTP message to end after its final line, or for a line to end that is longer than allowed.
+ANSWER_END_TIMEOUT_US = 1_000_000
 # A connect that fails with one of these lacks a resource of this machine, so the executor is not at fault.
 LOCAL_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 
@@ -138,6 +139,9 @@
         elif exchange.pending_end is not None and not exchange.finished:  # only the message's end is missing
             self.writer.withhold_last_byte()
             self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
+        elif exchange.is_overlong and not exchange.is_end_due:
+            exchange.is_end_due = True
+            self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.LINE_TOO_LONG)
         end = exchange.pending_end or malformed_end
         if end is not None:
             exchange.finish(now, end)
@@ -245,6 +249,11 @@
         """Return the kind of the messages that are kept."""
         return MessageKind.EXECUTOR_ANSWER
 
+    def end_costly_message(self) -> bool:
+        """Close the connection and finish its exchange; the attempt may have run if it has left whole."""
+        self.abort(BreakReason.MEMORY_FULL)
+        return True
+
     # Idle.
 
     def _return_to_pool(self) -> None:
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -11,14 +11,19 @@
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
 from cedarmill.log import log_event
-from cedarmill.net.upstream.answer_lines import OUTCOME_BY_FINAL_STATE, decode_line
+from cedarmill.net.upstream.answer_lines import (
+    MAX_RESULT_BYTES,
+    MAX_UNESCAPED_BYTES,
+    OUTCOME_BY_FINAL_STATE,
+    LineBuffer,
+    decode_line,
+)
 from cedarmill.net.upstream.exchange_end import AMBIGUOUS_REJECTION, INCOMPLETE_ANSWER, ExchangeEnd
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.connection import UpstreamConnection
     from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
 
-MAX_LINE_BYTES = 256 * 1024
 FORWARDED_HEADERS = (
     b"x-call-id",
     b"idempotency-key",
@@ -63,6 +68,7 @@
         self.body = bytearray()
         self.pending_end: ExchangeEnd | None = None  # read from the answer, not reported yet
         self.finished = False  # whether the end has been reported
+        self.is_end_due = False  # whether the answer's end has a time limit
         self.spoils_connection = False  # whether another answer may still come on the connection
 
     def outcome_if_blocked(self, now: int) -> Outcome | None:
@@ -81,6 +87,11 @@
         """Return the bytes that are kept of the answer's body."""
         return sys.getsizeof(self.body)
 
+    @property
+    def is_overlong(self) -> bool:
+        """Return whether what is kept of the answer is longer than any answer that the protocol allows."""
+        return len(self.body) > MAX_RESULT_BYTES
+
     def on_headers(self) -> None:
         """Handle the answer's status and headers."""
 
@@ -113,6 +124,7 @@
     def __init__(self, pools: "UpstreamPools", pool: "UpstreamPool", attempt: Attempt) -> None:
         super().__init__(pools, pool)
         self.attempt = attempt
+        self.lines = LineBuffer()
         self.id = attempt.request.payload.headers[b"x-call-id"].decode("latin-1")
         self.is_unsafe = attempt.request.spec.effect == api.Effect.UNSAFE
         self.is_repeat_restricted = attempt.request.spec.effect != api.Effect.SAFE
@@ -120,6 +132,16 @@
         self.needs_settled_connection = self.is_unsafe or (self.is_repeat_restricted and attempt.number > 0)
         attempt.exchange, attempt.end_unobserved = self, pool.kind.cancel not in ("close", "end")
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are kept of the answer's body."""
+        return self.lines.allocated_bytes + super().held_bytes
+
+    @property
+    def is_overlong(self) -> bool:
+        """Return whether what is kept of the answer is longer than any answer that the protocol allows."""
+        return self.lines.is_overlong or super().is_overlong
+
     def outcome_if_blocked(self, now: int) -> Outcome | None:
         """Ask the dispatch, which checks drains, deadlines, repeat windows and the client's presence."""
         return self.pools.dispatch.blocking_outcome(now, self.attempt)
@@ -151,15 +173,9 @@
         """Parse the lines that are complete."""
         if self.status != 200 or self.pending_end is not None:
             return
-        self.body += data
-        if b"\n" in data:  # searches only the new bytes, since an answer may arrive in many small pieces
-            *lines, rest = bytes(self.body).split(b"\n")  # one split for all lines, which may be many
-            self.body = bytearray(rest)
-            for line in lines:
-                if line.strip():
-                    self._read_line(line)
-        if len(self.body) > MAX_LINE_BYTES:
-            raise ValueError("answer line is too long")
+        for line in self.lines.feed(data):
+            if line.strip():
+                self._read_line(line)
 
     def _read_line(self, raw: bytes) -> None:
         line = decode_line(raw, self.id)
@@ -199,8 +215,9 @@
 
     def on_complete(self) -> None:
         """Parse a last line without a newline; a stream without a final state counts as reset."""
-        if self.pending_end is None and self.body.strip():
-            self._read_line(bytes(self.body))
+        last_line = self.lines.incomplete_line
+        if self.pending_end is None and last_line.strip():
+            self._read_line(last_line)
         self.pending_end = self.pending_end or INCOMPLETE_ANSWER
 
     def report_end(self, now: int, end: ExchangeEnd) -> None:
@@ -218,7 +235,7 @@
     def on_body(self, data: bytes) -> None:
         """Collect the answer's body."""
         self.body += data
-        if len(self.body) > MAX_LINE_BYTES:
+        if len(self.body) > MAX_UNESCAPED_BYTES:
             raise ValueError("answer is too long")
 
     def on_headers(self) -> None:
--- a/cedarmill/net/upstream/exchange_end.py
+++ b/cedarmill/net/upstream/exchange_end.py
@@ -17,6 +17,8 @@
     ANSWER_END_TIMED_OUT = "closed by the node: an answer did not end in time"
     IDLE_TIMED_OUT = "closed by the node: idle for too long"
     ANSWER_MALFORMED = "closed by the node: the answer is malformed"
+    LINE_TOO_LONG = "closed by the node: a line of the answer is too long"
+    MEMORY_FULL = "closed by the node: messages are at their bound of memory, and this one costs most"
     RESULT_MISSING = "closed by the node: the last line of the answer has no result"
     ID_MISSING = "closed by the node: a line of the answer names no request"
     REJECTION_AMBIGUOUS = "closed by the node: a rejection may belong to the request before"
--- a/cedarmill/net/upstream/probe_exchange.py
+++ b/cedarmill/net/upstream/probe_exchange.py
@@ -7,13 +7,14 @@
 from cedarmill.core.requests import Probe
 from cedarmill.core.timers import SingleTimer
 from cedarmill.decisions.interface import Outcome
-from cedarmill.net.upstream.exchange import MAX_LINE_BYTES, Exchange, parse_load_header
+from cedarmill.net.upstream.exchange import Exchange, parse_load_header
 from cedarmill.net.upstream.exchange_end import ExchangeEnd
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.pool import UpstreamPool, UpstreamPools
 
 PROBE_CONNECT_TIMEOUTS = 2  # a probe's time limit in multiples of the connect timeout
+MAX_REPORT_BYTES = 16 * 1024  # as for a report in a header
 _LOAD_DECODER = msgspec.json.Decoder(dict[str, float])
 
 
@@ -55,7 +56,7 @@
     def on_body(self, data: bytes) -> None:
         """Collect the report."""
         self.body += data
-        if len(self.body) > MAX_LINE_BYTES:
+        if len(self.body) > MAX_REPORT_BYTES:
             raise ValueError("load report is too long")
 
     def on_complete(self) -> None:
--- /dev/null
+++ b/tests/net/test_message_memory.py
@@ -0,0 +1,163 @@
+"""What unfinished, slow and unread messages take of the node's memory, all peers together."""
+
+import contextlib
+import json
+import queue
+import unittest
+from collections.abc import Callable
+
+from tests.support.node_case import NodeCase, ReceivedRequest
+
+HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+BODY_BYTES = 64 * 1024  # the largest body of the protocol
+REQUESTS = 80  # at once; a node of 32 MB holds 83 sessions
+Fault = Callable[[ReceivedRequest], str]
+
+
+def chunk(text: str) -> str:
+    return f"{len(text):x}\r\n{text}\r\n"
+
+
+def begun_line(request: ReceivedRequest, result: str) -> str:
+    """Return an answer that stops within the result of its last line."""
+    call_id = request.headers["X-Call-Id"]
+    return HEAD + "\r\n" + chunk(f'{{"id":"{call_id}","from":"s","state":"done","result":"{result}')
+
+
+def endless_line(request: ReceivedRequest) -> str:
+    return begun_line(request, "a" * 250_000)
+
+
+def endless_escaped_line(request: ReceivedRequest) -> str:
+    return begun_line(request, "\\u0001" * 41_000)
+
+
+class MemoryCase(NodeCase):
+    """The platform kills a node over its memory limit, with all requests that it holds."""
+
+    executor_count = 12
+    memory_mb = 32
+    sockets = 512
+
+    def ask_all(self, job_class: str, budget: int) -> list:
+        return [self.client().ask(job_class, budget=budget) for _ in range(REQUESTS)]
+
+    def received(self, executor: int) -> ReceivedRequest | None:
+        """Return a request that an executor has received, if any."""
+        with contextlib.suppress(queue.Empty):
+            return self.executors[executor].received.get_nowait()
+        return None
+
+    def answer_until_done(self, clients: list, answer: Callable[[int, ReceivedRequest], None]) -> list[int]:
+        """Answer what executors receive until all clients have their answers; return the statuses."""
+        waiting = list(clients)
+        while waiting:
+            for number in range(self.executor_count):
+                while (request := self.received(number)) is not None:
+                    with contextlib.suppress(OSError):  # the node closes the connection
+                        answer(number, request)
+            waiting = [client for client in waiting if not client.answered(0)]
+        return [client.answer()[0] for client in clients]
+
+    def check_memory(self) -> None:
+        self.assertLess(self.peak_private_kib(), self.memory_mb * 1024)
+
+
+class SpoiltAnswers(MemoryCase):
+    def check_fault(self, fault: Fault) -> None:
+        """Let all executors spoil every answer to many requests at once; each gets its final answer."""
+
+        def answer(executor: int, request: ReceivedRequest) -> None:
+            request.connection.send(fault(request))
+
+        statuses = self.answer_until_done(self.ask_all("pin", budget=2000), answer)
+        self.assertLessEqual(set(statuses), {502, 503})
+        self.check_memory()
+
+    def test_lines_without_an_end_stay_within_the_memory_limit(self):
+        """Guards against unfinished answers that no bound counts together: review/8."""
+        self.check_fault(endless_line)
+
+    def test_escaped_lines_without_an_end_stay_within_the_memory_limit(self):
+        """Guards against a bound for each line alone, since an honest line may be as long as these."""
+        self.check_fault(endless_escaped_line)
+
+    def test_answers_that_stop_in_the_middle_stay_within_the_memory_limit(self):
+        self.check_fault(lambda request: begun_line(request, "a" * 60_000))
+
+    def test_heads_that_do_not_end_stay_within_the_memory_limit(self):
+        self.check_fault(lambda request: HEAD + "X-Load-Report: " + "a" * 15_000)
+
+    def test_trailers_that_do_not_end_stay_within_the_memory_limit(self):
+        self.check_fault(lambda request: begun_line(request, "a") + "0\r\nX: " + "a" * 15_000)
+
+    def test_load_reports_of_thousands_of_names_stay_within_the_memory_limit(self):
+        """Guards against a line that takes many times its length once it is decoded."""
+
+        def answer(request: ReceivedRequest) -> str:
+            load = ",".join(f'"{number:x}":1' for number in range(8_000))
+            line = f'{{"id":"{request.headers["X-Call-Id"]}","state":"failed","load":{{{load}}}}}\n'
+            return HEAD + "\r\n" + chunk(line)
+
+        self.check_fault(answer)
+
+
+class EndlessLine(NodeCase):
+    executor_count = 2
+
+    def test_a_request_is_served_elsewhere_long_before_its_deadline(self):
+        """Guards against waiting until the deadline for a line that is longer than the protocol allows."""
+        client = self.client().ask("pin", budget=6000)
+        spoilt = self.wait_received()
+        request = self.executors[spoilt].next_request()
+        request.connection.send(endless_line(request))
+        while (number := self.wait_received()) == spoilt:
+            self.executors[spoilt].next_request().connection.reset()
+        self.executors[number].next_request().done()
+        self.assertEqual(client.answer(), (200, b"fine"))
+        self.wait_log("a line of the answer is too long")
+
+
+class LargeAnswers(MemoryCase):
+    def test_whole_answers_of_64_kib_are_served_however_they_are_escaped(self):
+        """Guards against a limit on a line that honest answers pass by their escapes."""
+        for text in ("\u00e9" * (BODY_BYTES // 2), "\x01" * BODY_BYTES, '"' * BODY_BYTES, "a" * BODY_BYTES):
+            with self.subTest(text[:1]):
+                client = self.client().ask("issue")
+                self.next_request().done(text)
+                self.assertEqual(client.answer(), (200, text.encode()))
+
+    def play_slow_answers(self, spoilt_executors: int) -> None:
+        """Send the last part of the sound executors' answers only once all executors have begun theirs."""
+        clients, begun, spoilt = self.ask_all("issue", budget=3000), [], []
+        result = "a" * BODY_BYTES
+
+        def answer(executor: int, request: ReceivedRequest) -> None:
+            if executor < spoilt_executors:
+                spoilt.append(request)
+                request.connection.send(endless_escaped_line(request))
+            else:
+                line = json.dumps({"id": request.headers["X-Call-Id"], "state": "done", "result": result})
+                text = chunk(line + "\n") + "0\r\n\r\n"
+                request.send_head()
+                request.connection.send(text[:-1000])
+                begun.append((request, text[-1000:]))
+            if len(begun) + len(spoilt) == REQUESTS:
+                for waiting, rest in begun:
+                    waiting.connection.send(rest)
+
+        statuses = self.answer_until_done(clients, answer)
+        self.assertEqual(statuses.count(200), len(begun))
+        self.check_memory()
+
+    def test_slow_whole_answers_of_64_kib_are_all_served(self):
+        """Guards against a bound that honest answers pass, each of which is half there at the same time."""
+        self.play_slow_answers(spoilt_executors=0)
+
+    def test_slow_whole_answers_are_served_beside_escaped_lines_without_an_end(self):
+        """Guards against ending sound executors' answers to make room for spoilt ones."""
+        self.play_slow_answers(spoilt_executors=3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/support/node_client.py
+++ b/tests/support/node_client.py
@@ -33,7 +33,9 @@
 
     def answered(self, wait_s: float) -> bool:
         """Return whether an answer begins to arrive within this time."""
-        return bool(select.select([self.sock], [], [], wait_s)[0])
+        poll = select.poll()  # unlike select.select, it takes any descriptor
+        poll.register(self.sock, select.POLLIN)
+        return bool(poll.poll(wait_s * 1000))
 
     def answer(self) -> tuple[int, bytes]:
         """Wait for the answer and return its status and body."""
