Drop a result once it is served, also where its HTTP message does not end

Executors that send the last line of each answer and not the end of its message make a node keep the result of each request of the last second.

Cause: the outcome read from the answer, with its result, stayed with the exchange until its connection ended, up to 1 s after the client had its answer. No limit and no count covered it.

Change: Exchange.finish drops the result once it has reported it; the outcome remains, which the end of the message still needs.

--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -112,6 +112,8 @@
         if not self.finished:
             self.finished = True
             self.report_end(now, end)
+            if self.pending_end is not None:  # the message may take a while to end
+                self.pending_end = self.pending_end._replace(result=None)
 
     def load_report(self, load: dict[str, float] | None) -> api.LoadReport | None:
         """Return the load report in the order of the settings, or None unless every value is present."""
--- a/tests/net/test_message_memory.py
+++ b/tests/net/test_message_memory.py
@@ -159,5 +159,24 @@
         self.play_slow_answers(spoilt_executors=3)
 
 
+class FinishedRequests(MemoryCase):
+    """What belongs to a request that has its answer is not kept."""
+
+    def test_results_are_not_kept_while_their_messages_do_not_end(self):
+        """Guards against a result that is kept with its connection for 1 s after it was served."""
+        result = "a" * 200_000  # more than the protocol allows, but served
+
+        def answer(executor: int, request: ReceivedRequest) -> None:
+            request.send_head()
+            request.send_state("done", result=result)
+
+        for _ in range(3):
+            clients = self.ask_all("pin", budget=2000)
+            self.assertLessEqual(set(self.answer_until_done(clients, answer)), {200, 503})
+            for client in clients:
+                client.close()
+        self.check_memory()
+
+
 if __name__ == "__main__":
     unittest.main()
