Drop a client's message once its request is answered or the client has left

Where executors cannot cancel what they run, clients that send bodies of 64 KiB and leave make a node grow by the body of each request that still runs.

Cause: a request that its client has left stays known until its attempts end, and kept the body although nothing may be sent again; it also kept the session, which kept its current message. The limit on sessions counts the body as gone.

Change: the dispatch drops the client's message as it closes a request, and the session drops its message in service as it is withdrawn.

Tests with hundreds of connections left over 1,024 descriptors in their process, which broke a test that uses select.select; the stand-ins' connections are closed after each test now.

--- a/cedarmill/core/dispatch.py
+++ b/cedarmill/core/dispatch.py
@@ -271,6 +271,7 @@
 
     def _close(self, request: Request) -> None:
         request.answered = True
+        request.payload = None  # no attempt begins any more, but those in flight may take long
         self.unanswered -= 1
         self._forget_if_finished(request)
 
--- a/cedarmill/core/requests.py
+++ b/cedarmill/core/requests.py
@@ -48,7 +48,10 @@
 
 
 class Request:
-    """A request that the node has accepted; `due` is its deadline (us)."""
+    """A request that the node has accepted; `due` is its deadline (us).
+
+    `payload` is the client's message, until the request is answered or its client has left.
+    """
 
     __slots__ = ("answered", "attempts", "claim", "client", "due", "id", "payload", "probes", "spec", "timer")
 
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -125,6 +125,7 @@
             if message is not None:
                 self.server.open_requests.remove(message)
         self.reader.requests.clear()
+        self.current_message = None  # an attempt in flight may keep this session for long
 
     def reject_incomplete_request(self, fault: ClientRequestError) -> None:
         """Answer the incomplete request with an error, after the responses that precede it."""
--- a/tests/net/test_message_memory.py
+++ b/tests/net/test_message_memory.py
@@ -178,5 +178,24 @@
         self.check_memory()
 
 
+class LeftRequests(MemoryCase):
+    """Requests whose clients have left, at executors that cannot cancel what they run."""
+
+    sockets = 1024
+    settings_changes = {"caps.cancelling": False}
+
+    def test_bodies_of_requests_are_not_kept_once_their_clients_have_left(self):
+        """Guards against a body that is kept for each attempt until its deadline."""
+        for number in range(5):
+            clients = [
+                self.client().ask("pin", path=f"/api/{number:x}", body=b"a" * BODY_BYTES)
+                for _ in range(REQUESTS)
+            ]
+            for client in clients:
+                self.wait_for(lambda: any(self.received(n) for n in range(self.executor_count)))
+                client.close()
+        self.check_memory()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/support/node_case.py
+++ b/tests/support/node_case.py
@@ -66,6 +66,7 @@
         self.discovery = StandInServer()
         self.executors = [StandInServer() for _ in range(self.executor_count)]
         for server in (self.discovery, *self.executors):
+            self.addCleanup(server.close_connections)
             self.addCleanup(server.close)
         self.log: list[str] = []
         self.config_path = ""
--- a/tests/support/node_client.py
+++ b/tests/support/node_client.py
@@ -17,9 +17,14 @@
         self.headers = http.client.HTTPMessage()  # headers of the last answer
 
     def ask(
-        self, job_class: str = "pin", budget: object = 6000, path: str = "/api", **headers: str
+        self,
+        job_class: str = "pin",
+        budget: object = 6000,
+        path: str = "/api",
+        body: bytes = b"a body",
+        **headers: str,
     ) -> "Client":
-        """Send a request with this X-Budget-Ms, further headers and a fixed body."""
+        """Send a request with this X-Budget-Ms, body and further headers."""
         Client.count += 1
         default_headers = {
             "X-Call-Id": f"{Client.count:016x}",
@@ -28,7 +33,7 @@
             "X-Budget-Ms": str(budget),
             "X-Call-Info": "slots=1,memory=0.500",
         }
-        self.request("POST", path, b"a body", {**default_headers, **headers})
+        self.request("POST", path, body, {**default_headers, **headers})
         return self
 
     def answered(self, wait_s: float) -> bool:
--- a/tests/support/stand_in_server.py
+++ b/tests/support/stand_in_server.py
@@ -125,6 +125,11 @@
         """Wait for the next request; raise queue.Empty if none arrives within WAIT seconds."""
         return self.received.get(timeout=WAIT)
 
+    def close_connections(self) -> None:
+        """Close all accepted connections."""
+        for connection in self.connections:
+            connection.sock.close()
+
     def close(self) -> None:
         """Stop listening and keep accepted connections open."""
         with contextlib.suppress(OSError):
