Limit an endpoint list by the memory that the node has

Change: a list may be an eighth of what the configuration leaves for connections and messages, between 1 MiB (some 6,000 executors) and 4 MiB. A longer one ends the watch and the last list holds, as before for one over 4 MiB. The text is copied once less.

--- a/cedarmill/net/discovery/list_stream.py
+++ b/cedarmill/net/discovery/list_stream.py
@@ -8,6 +8,8 @@
 from cedarmill.net.discovery.endpoints import Endpoint, Listing
 
 MAX_LIST_BYTES = 4 * 1024 * 1024
+MIN_LIMIT_BYTES = 1024 * 1024  # of the limit; a list of some 6,000 executors
+LIST_MEMORY_FACTOR = 8  # memory that a list takes while it is decoded, in multiples of its length
 _LISTING_DECODER = msgspec.json.Decoder(Listing)
 
 
@@ -72,10 +74,16 @@
         return None
 
 
+def list_limit_bytes(memory_bytes: int) -> int:
+    """Return the longest list that a process may decode with this much memory."""
+    return min(MAX_LIST_BYTES, max(MIN_LIMIT_BYTES, memory_bytes // LIST_MEMORY_FACTOR))
+
+
 class ListStream:
     """Collects the body in chunks of any size and returns the complete lists."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_LIST_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._buffer = bytearray()
         self._line_start = 0  # buffer offset of the incomplete line
         self._searched_to = 0  # buffer offset up to which the incomplete line holds no newline
@@ -103,8 +111,7 @@
         # Examines only the new bytes, since a long list may arrive byte by byte.
         self._line_is_blank = self._line_is_blank and not self._buffer[self._searched_to :].strip()
         self._searched_to = len(self._buffer)
-        if len(self._buffer) > MAX_LIST_BYTES:
-            raise ValueError("endpoint list is too long")
+        self._check_length(len(self._buffer))
         return listings
 
     def finish(self) -> list[Listing]:
@@ -125,13 +132,20 @@
         self._document_started = True
         if not line.endswith(b"}"):
             return None
+        self._check_length(end)
         try:
-            listing = decode_listing(bytes(self._buffer[:end]))
+            with memoryview(self._buffer) as view:
+                text = bytes(view[:end])
+            listing = decode_listing(text)
         except Incomplete:
             return None
         self._discard_document()
         return listing
 
+    def _check_length(self, size: int) -> None:
+        if size > self._max_bytes:
+            raise ValueError("endpoint list is too long")
+
     def _discard_document(self) -> None:
         """Remove the complete document's lines from the buffer."""
         del self._buffer[: self._line_start]
--- a/cedarmill/net/discovery/watch_connection.py
+++ b/cedarmill/net/discovery/watch_connection.py
@@ -10,7 +10,7 @@
 from cedarmill.core.memory_budget import MessageKind
 from cedarmill.net.config import Address
 from cedarmill.net.discovery.endpoints import Listing
-from cedarmill.net.discovery.list_stream import ListStream
+from cedarmill.net.discovery.list_stream import ListStream, list_limit_bytes
 from cedarmill.net.loop import guarded_callback
 from cedarmill.net.socket_state import TRANSPORT_ERRORS
 
@@ -31,7 +31,7 @@
         self.client, self.driver = client, client.driver
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
-        self.lists = ListStream()
+        self.lists = ListStream(list_limit_bytes(client.memory.limit_bytes))
         self.body = bytearray()  # chunks of one read, which may be single bytes, collected for one pass
         # Set after the first list; from then on an empty line confirms that the list is up to date.
         self.has_listing = False
--- a/tests/net/test_message_memory.py
+++ b/tests/net/test_message_memory.py
@@ -197,5 +197,40 @@
         self.check_memory()
 
 
+class LongEndpointLists(NodeCase):
+    memory_mb = 32
+
+    def send_list(self, entries: list[dict]) -> None:
+        """Let discovery send a whole list, and wait until the node has read it."""
+        request = self.discovery.next_request()
+        request.send_head()
+        with contextlib.suppress(OSError):  # the node closes the connection
+            request.send_line({"index": 9, "snapshot": True, "endpoints": entries})
+
+    def check_too_long(self, entries: list[dict]) -> None:
+        """A list that is too long for the memory changes nothing."""
+        client = self.client().ask()
+        self.executors[0].next_request().done()
+        self.assertEqual(client.answer()[0], 200)
+        self.send_list(entries)
+        self.wait_log("endpoint list is too long")
+        self.assertLess(self.peak_private_kib(), self.memory_mb * 1024)
+        self.assertEqual(self.served_by(), 0)
+
+    def test_a_list_of_too_many_entries_stays_within_the_memory_limit(self):
+        """Guards against a limit on lists that does not depend on the memory."""
+        self.check_too_long([self.entry(0)] * 25_000)
+
+    def test_a_list_with_a_long_name_stays_within_the_memory_limit(self):
+        self.check_too_long([self.entry(0), self.entry(0, name="a" * 3_900_000)])
+
+    def test_a_list_of_3200_executors_is_used(self):
+        self.client().ask()
+        self.executors[0].next_request().done()
+        self.send_list([self.entry(0, name=f"s-{number}") for number in range(3_200)])
+        self.wait_log("watching from index 9")
+        self.assertLess(self.peak_private_kib(), self.memory_mb * 1024)
+
+
 if __name__ == "__main__":
     unittest.main()
