--- a/cedarmill/core/memory_budget.py
+++ b/cedarmill/core/memory_budget.py
@@ -5,8 +5,8 @@
 at its end. Messages that are small are not counted one by one; each connection counts with a fixed cost that
 covers them.
 
-Above the limit the messages that cost most are ended: those with the largest product of their bytes and the
-time for which they have been kept. A peer cannot lower that product but by finishing its message.
+Above the limit the messages that cost most are ended: those with the largest product of their bytes, the time
+for which they have been kept and a weight by kind. A peer cannot lower it but by finishing its message.
 
 Times are whole microseconds of the node's monotonic clock.
 """
@@ -34,6 +34,10 @@
     ENDPOINT_LIST = "discovery's endpoint list"
 
 
+# What a client has not finished never ran, and it may send it again: its end costs least.
+COST_WEIGHTS = {MessageKind.CLIENT_REQUEST: 4}
+
+
 class MemoryHolder(Protocol):
     """A connection that keeps messages of a peer."""
 
@@ -54,7 +58,7 @@
     since: int
 
     def cost(self, now: int) -> int:
-        """Return the product of bytes and time, by which holders are compared."""
+        """Return the product of bytes and time (us)."""
         return self.size * (now - self.since)
 
 
@@ -109,10 +113,8 @@
         try:
             for holder in list(self._held):
                 self._count(holder, now)  # a peer may have read since
-            costliest_first = sorted(
-                self._held, key=lambda holder: self._held[holder].cost(now), reverse=True
-            )
-            for holder in costliest_first:
+            costs = {holder: self._cost(holder, now) for holder in self._held}
+            for holder in sorted(costs, key=costs.__getitem__, reverse=True):
                 if not self.is_exceeded:
                     break
                 if holder in self._held:  # else it has ended with another one's message
@@ -120,6 +122,9 @@
         finally:
             self._is_freeing = False
 
+    def _cost(self, holder: MemoryHolder, now: int) -> int:
+        return self._held[holder].cost(now) * COST_WEIGHTS.get(holder.message_kind(), 1)
+
     def _end_message(self, holder: MemoryHolder, now: int) -> None:
         kind = holder.message_kind()
         try:
--- a/tests/core/test_memory_budget.py
+++ b/tests/core/test_memory_budget.py
@@ -11,6 +11,8 @@
 class Holder:
     """A connection that keeps `size` bytes; `fails` lets the end of its message raise."""
 
+    kind = MessageKind.EXECUTOR_ANSWER
+
     def __init__(self, budget: MemoryBudget, can_end: bool = True, fails: bool = False) -> None:
         self.budget, self.can_end, self.fails = budget, can_end, fails
         self.size = 0
@@ -24,7 +26,7 @@
         return self.size
 
     def message_kind(self) -> MessageKind:
-        return MessageKind.EXECUTOR_ANSWER
+        return self.kind
 
     def end_costly_message(self) -> bool:
         if self.fails:
@@ -64,6 +66,13 @@
         self.holders(1, MIB, now=1_000)
         self.assertEqual(self.ended([slow, other]), [True, False])
 
+    def test_an_unfinished_request_is_ended_before_an_answer_that_costs_the_same(self):
+        """Guards against losing work of executors to clients that never finish."""
+        answer, request = self.holders(2, 4 * MIB, now=0)
+        request.kind = MessageKind.CLIENT_REQUEST
+        self.holders(1, MIB, now=1_000)
+        self.assertEqual(self.ended([answer, request]), [False, True])
+
     def test_only_as_many_are_ended_as_needed(self):
         holders = self.holders(20, MIB, now=0)
         self.assertEqual(sum(self.ended(holders)), 12)
