Keep the result of a long line decoded, so that escapes take no memory

Cause: JSON may take six bytes for one of the result, and a line was kept as it came, in one buffer that grows.

Change: once a line is long, what has come of its result is decoded at once and kept as bytes, in parts of similar size (line_buffer.py). The limits count those bytes. A line of other form is kept as it comes. A line with two results is malformed if one of them was decoded early, since they cannot be told apart.

--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -11,14 +11,9 @@
 from cedarmill.decisions import interface as api
 from cedarmill.decisions.interface import Outcome
 from cedarmill.log import log_event
-from cedarmill.net.upstream.answer_lines import (
-    MAX_RESULT_BYTES,
-    MAX_UNESCAPED_BYTES,
-    OUTCOME_BY_FINAL_STATE,
-    LineBuffer,
-    decode_line,
-)
+from cedarmill.net.upstream.answer_lines import OUTCOME_BY_FINAL_STATE, decode_line
 from cedarmill.net.upstream.exchange_end import AMBIGUOUS_REJECTION, INCOMPLETE_ANSWER, ExchangeEnd
+from cedarmill.net.upstream.line_buffer import MAX_LINE_BYTES, MAX_RESULT_BYTES, LineBuffer, LineText
 
 if TYPE_CHECKING:
     from cedarmill.net.upstream.connection import UpstreamConnection
@@ -176,16 +171,18 @@
         if self.status != 200 or self.pending_end is not None:
             return
         for line in self.lines.feed(data):
-            if line.strip():
-                self._read_line(line)
+            self._read_line(line)
 
-    def _read_line(self, raw: bytes) -> None:
-        line = decode_line(raw, self.id)
+    def _read_line(self, line_text: LineText) -> None:
+        if not line_text.text.strip():
+            return
+        line = decode_line(line_text, self.id)
         dispatch, now = self.pools.dispatch, self.pools.driver.now()
         if self.pending_end is not None:
             return
         if line.state == "done":
-            self.pending_end = ExchangeEnd(Outcome.OK, self.load_report(line.load), line.result_text())
+            result = line.result_text(line_text.result_start)
+            self.pending_end = ExchangeEnd(Outcome.OK, self.load_report(line.load), result)
         elif line.state in OUTCOME_BY_FINAL_STATE:
             self.pending_end = ExchangeEnd(OUTCOME_BY_FINAL_STATE[line.state], self.load_report(line.load))
         elif line.state == "started":
@@ -217,9 +214,8 @@
 
     def on_complete(self) -> None:
         """Parse a last line without a newline; a stream without a final state counts as reset."""
-        last_line = self.lines.incomplete_line
-        if self.pending_end is None and last_line.strip():
-            self._read_line(last_line)
+        if self.pending_end is None:
+            self._read_line(self.lines.incomplete_line())
         self.pending_end = self.pending_end or INCOMPLETE_ANSWER
 
     def report_end(self, now: int, end: ExchangeEnd) -> None:
@@ -237,7 +233,7 @@
     def on_body(self, data: bytes) -> None:
         """Collect the answer's body."""
         self.body += data
-        if len(self.body) > MAX_UNESCAPED_BYTES:
+        if len(self.body) > MAX_LINE_BYTES:
             raise ValueError("answer is too long")
 
     def on_headers(self) -> None:
--- a/tests/net/test_message_memory.py
+++ b/tests/net/test_message_memory.py
@@ -127,15 +127,14 @@
                 self.next_request().done(text)
                 self.assertEqual(client.answer(), (200, text.encode()))
 
-    def play_slow_answers(self, spoilt_executors: int) -> None:
+    def play_slow_answers(self, spoilt_executors: int, result: str = "a" * BODY_BYTES) -> None:
         """Send the last part of the sound executors' answers only once all executors have begun theirs."""
         clients, begun, spoilt = self.ask_all("issue", budget=3000), [], []
-        result = "a" * BODY_BYTES
 
         def answer(executor: int, request: ReceivedRequest) -> None:
             if executor < spoilt_executors:
                 spoilt.append(request)
-                request.connection.send(endless_escaped_line(request))
+                request.connection.send(endless_line(request))
             else:
                 line = json.dumps({"id": request.headers["X-Call-Id"], "state": "done", "result": result})
                 text = chunk(line + "\n") + "0\r\n\r\n"
@@ -154,7 +153,11 @@
         """Guards against a bound that honest answers pass, each of which is half there at the same time."""
         self.play_slow_answers(spoilt_executors=0)
 
-    def test_slow_whole_answers_are_served_beside_escaped_lines_without_an_end(self):
+    def test_slow_whole_answers_of_escapes_are_all_served(self):
+        """Guards against answers that are kept with their escapes, three times as long as their results."""
+        self.play_slow_answers(spoilt_executors=0, result="\u00e9" * (BODY_BYTES // 2))
+
+    def test_slow_whole_answers_are_served_beside_lines_without_an_end(self):
         """Guards against ending sound executors' answers to make room for spoilt ones."""
         self.play_slow_answers(spoilt_executors=3)
 
