Free what is kept of an answer as its attempt is cancelled

Found as the memory held did not agree with the count of the new budget: with 33.4 MB held, a garbage collection by hand took what the allocator had in use from 17.2 to 9.9 MB, and 58 exchanges existed, of which 16 were in use.

Cause: an attempt that times out or is cancelled ends at the dispatch, and goes on referring to its exchange with the unfinished answer. Request and attempts refer to each other, so only the garbage collector frees them, seconds later.

Change: a connection drops what is kept of the answer as it lets go of the exchange, in the one place where it stops being counted.

--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -200,6 +200,8 @@
 
     def _detach_exchange(self) -> None:
         """Forget the exchange and what was kept of its messages."""
+        if self.exchange is not None:
+            self.exchange.drop_answer()
         self.exchange = self.answer.exchange = None
         self.pools.memory.remove(self)
 
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -110,6 +110,10 @@
             if self.pending_end is not None:  # the message may take a while to end
                 self.pending_end = self.pending_end._replace(result=None)
 
+    def drop_answer(self) -> None:
+        """Free what is kept of the answer; an exchange that was cancelled may be in a reference cycle."""
+        self.body = bytearray()
+
     def load_report(self, load: dict[str, float] | None) -> api.LoadReport | None:
         """Return the load report in the order of the settings, or None unless every value is present."""
         return ordered_report(self.pools.settings.report_names, load)
@@ -139,6 +143,11 @@
         """Return whether what is kept of the answer is longer than any answer that the protocol allows."""
         return self.lines.is_overlong or super().is_overlong
 
+    def drop_answer(self) -> None:
+        """Free what is kept of the answer."""
+        super().drop_answer()
+        self.lines = LineBuffer()
+
     def outcome_if_blocked(self, now: int) -> Outcome | None:
         """Ask the dispatch, which checks drains, deadlines, repeat windows and the client's presence."""
         return self.pools.dispatch.blocking_outcome(now, self.attempt)
--- a/tests/net/test_message_memory.py
+++ b/tests/net/test_message_memory.py
@@ -180,6 +180,19 @@
                 client.close()
         self.check_memory()
 
+    def test_answers_are_not_kept_once_their_attempts_are_cancelled(self):
+        """Guards against answers that only the garbage collector frees."""
+
+        def answer(executor: int, request: ReceivedRequest) -> None:
+            request.connection.send(begun_line(request, "a" * 75_000))
+
+        for _ in range(8):
+            clients = self.ask_all("issue", budget=300)
+            self.assertLessEqual(set(self.answer_until_done(clients, answer)), {502, 503})
+            for client in clients:
+                client.close()
+        self.check_memory()
+
 
 class LeftRequests(MemoryCase):
     """Requests whose clients have left, at executors that cannot cancel what they run."""
