Let the first answer end in one write in the test of preemption

Cause, in the test: the stand-in sends the last line of its first answer and the end of the message in two writes. The client has its answer after the first; if the node reads the second only after the test has moved the clock by the window for a second answer, the connection is idle since then, the victim takes a new one, and nothing ends the first.

The last line and the end go out in one write now.

--- a/tests/net/test_preemption.py
+++ b/tests/net/test_preemption.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from cedarmill.net.upstream.connection import DUPLICATE_ANSWER_WINDOW_US
-from tests.support.node_case import NodeCase
+from tests.support.node_case import WAIT, NodeCase
 from tests.support.node_client import Client
 from tests.support.slow_clock import SlowClock
 
@@ -32,8 +32,9 @@
         received = self.executors[0].next_request()
         received.send_head()
         received.send_state("started")
-        received.send_state("done", result="fine", load={"x0": 0, "x1": 100})  # no further slot is free
-        received.connection.send("0\r\n\r\n")
+        # No further slot is free. The message ends in the same write: the connection is idle once the client
+        # has its answer, and the time for a second answer counts from then.
+        received.send_state("done", "0\r\n\r\n", result="fine", load={"x0": 0, "x1": 100})
         self.assertEqual(client.answer()[0], 200)
         self.first_connection = received.connection
 
@@ -67,7 +68,7 @@
         """Guards against 502, which says that a request may have run that provably has not."""
         self.clock.advance(DUPLICATE_ANSWER_WINDOW_US)
         self.check_victim_is_refused()
-        self.assertTrue(self.first_connection.ended.is_set())  # it carried the victim but for its last byte
+        self.assertTrue(self.first_connection.ended.wait(WAIT))  # it carried the victim but for its last byte
 
     def test_request_whose_connection_opens_is_refused(self):
         """Guards against 502, which says that a request may have run that provably has not."""
--- a/tests/support/stand_in_server.py
+++ b/tests/support/stand_in_server.py
@@ -87,14 +87,14 @@
         lines = [f"HTTP/1.1 {status}", "Transfer-Encoding: chunked", *headers, "", ""]
         self.connection.send("\r\n".join(lines))
 
-    def send_line(self, value: dict[str, Any] | None) -> None:
-        """Send one chunk with a line of JSON, or with an empty keep-alive line for None."""
+    def send_line(self, value: dict[str, Any] | None, following: str = "") -> None:
+        """Send one chunk with a line of JSON, or an empty keep-alive line for None, and what follows it."""
         text = json.dumps(value) + "\n" if value is not None else "\n"
-        self.connection.send(f"{len(text):x}\r\n{text}\r\n")
+        self.connection.send(f"{len(text):x}\r\n{text}\r\n{following}")
 
-    def send_state(self, state: str, **fields: object) -> None:
-        """Send a progress line of the request, as an executor does."""
-        self.send_line({"id": self.headers["X-Call-Id"], "from": "s-1", "state": state, **fields})
+    def send_state(self, state: str, following: str = "", **fields: object) -> None:
+        """Send a progress line of the request, as an executor does, and what follows it."""
+        self.send_line({"id": self.headers["X-Call-Id"], "from": "s-1", "state": state, **fields}, following)
 
     def done(self, result: str = "fine") -> None:
         """Send a complete answer with this result."""
