--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -9,12 +9,14 @@
 import unittest
 from pathlib import Path
 
+from cedarmill.core.memory_budget import GUARANTEED_BYTES, MemoryBudget
 from cedarmill.net.clients.request import ClientRequest
 from cedarmill.net.clients.request_reader import RequestReader
 from cedarmill.net.clients.server import USED_HEADERS
 from cedarmill.net.loop import EventLoopDriver
 from cedarmill.net.node import SESSION_MB
 from tests.net.test_client_cancellation import RawClientCase, raw
+from tests.net.test_client_socket_errors import SessionCase
 from tests.support.node_case import WAIT, NodeCase
 
 HEAD = b"POST /api HTTP/1.1\r\nX-Call-Id: a1\r\nX-Call-Class: pin\r\nX-Budget-Ms: 5000\r\n"
@@ -118,6 +120,42 @@
                 self.assertEqual(len(request.headers[b"idempotency-key"]), 16_000)
 
 
+class SharedBudget(SessionCase):
+    """Sessions whose messages together are over the memory that a process has for them."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clients.memory = MemoryBudget(0)  # GUARANTEED_BYTES are left
+        head = raw(0).partition(b"Content-Length")[0]
+        self.half = head + b"Content-Length: 65000\r\n\r\n" + b"x" * 64_000
+
+    def statuses(self, sessions: list) -> list[bytes]:
+        return [transport.text[9:12] for _, transport in sessions]
+
+    def test_the_oldest_unfinished_requests_are_refused_and_whole_ones_kept(self):
+        """Guards against a budget that loses requests that were read whole."""
+        whole, _ = self.open_session()
+        whole.data_received(raw(1))
+        sessions = [self.open_session() for _ in range(60)]
+        for session, _ in sessions:
+            session.data_received(self.half)
+        refused = [status == b"503" for status in self.statuses(sessions)]
+        self.assertEqual(refused, sorted(refused, reverse=True))
+        self.assertGreaterEqual(sum(refused), 60 - GUARANTEED_BYTES // 64_000)
+        self.assertIsNotNone(whole.request)
+        self.assertIn(b"Connection: close", sessions[0][1].text)
+
+    def test_a_client_that_does_not_read_is_closed(self):
+        """Guards against answers that nobody counts once they are written."""
+        unread, transport = self.open_session()
+        transport.unsent_bytes = GUARANTEED_BYTES
+        unread.count_memory()
+        self.assertFalse(transport.closing)
+        session, other = self.open_session()
+        session.data_received(self.half)
+        self.assertEqual((transport.closing, other.text), (True, b""))
+
+
 class LowMemory(NodeCase):
     sockets = 1024
     memory_mb = 32
--- a/tests/net/test_client_socket_errors.py
+++ b/tests/net/test_client_socket_errors.py
@@ -181,7 +181,7 @@
     """A transport that records the written data."""
 
     def __init__(self) -> None:
-        self.text, self.closing = b"", False
+        self.text, self.closing, self.unsent_bytes = b"", False, 0
 
     def write(self, text: bytes) -> None:
         self.text += text
@@ -196,7 +196,7 @@
         return self.sock
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unsent_bytes
 
     def write_eof(self) -> None:
         pass
@@ -204,8 +204,8 @@
     pause_reading = resume_reading = write_eof
 
 
-class SessionExceptions(unittest.TestCase):
-    """An exception in one session affects only that session."""
+class SessionCase(unittest.TestCase):
+    """Sessions of a server without a dispatch, on transports that do nothing."""
 
     def setUp(self) -> None:
         loop = SimpleNamespace(call_later=lambda delay, call: SimpleNamespace(cancel=lambda: None))
@@ -229,6 +229,10 @@
         session.connection_made(transport)
         return session, transport
 
+
+class SessionExceptions(SessionCase):
+    """An exception in one session affects only that session."""
+
     def test_all_requests_are_answered_after_a_callback_raises(self):
         """Guards against a reset of the connection with requests unanswered."""
         session, transport = self.open_session()
