Let the limit on messages follow the memory that the process has left

Change: once messages take over 2.5 MB, the process's anonymous memory is read as well. With 3 MB left, or more, messages may take more than their share; with less than 2.25 MB, or if it cannot be read, 2.5 MB.

--- a/cedarmill/admin/resource_split.py
+++ b/cedarmill/admin/resource_split.py
@@ -39,9 +39,15 @@
     )
 
 
+def process_memory_bytes(limits: NodeLimits, processes: int) -> int:
+    """Return what each of a node's processes may use."""
+    return int(limits.memory_mb / processes * BYTES_PER_MB)
+
+
 def message_memory_bytes(limits: NodeLimits, processes: int) -> int:
     """Return what each of a node's processes may use for its connections and their messages."""
-    return max(0, int((limits.memory_mb / processes - limits.own_memory_mb) * BYTES_PER_MB))
+    own_bytes = int(limits.own_memory_mb * BYTES_PER_MB)
+    return max(0, process_memory_bytes(limits, processes) - own_bytes)
 
 
 def _remaining_limit(single_process: int, shared: int, open_elsewhere: int) -> int:
--- a/cedarmill/core/memory_budget.py
+++ b/cedarmill/core/memory_budget.py
@@ -12,6 +12,7 @@
 """
 
 import sys
+from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple, Protocol
 
@@ -22,6 +23,10 @@
 MIN_COUNTED_BYTES = 2 * 1024  # smaller messages are part of CONNECTION_BYTES
 # Kept for messages even if the connections take all: a request and an answer of 80 KiB for 16 clients.
 GUARANTEED_BYTES = 16 * 2 * 80 * 1024
+# While a process has this much left, messages may take more than their share.
+AMPLE_BYTES_LEFT = 3 * 1024 * 1024
+# With less than this left, messages may take only what is guaranteed.
+CRITICAL_BYTES_LEFT = AMPLE_BYTES_LEFT * 3 // 4
 UNLIMITED = sys.maxsize
 
 
@@ -63,20 +68,38 @@
 
 
 class MemoryBudget:
-    """Counts the messages of all holders against one limit, in bytes."""
-
-    def __init__(self, limit_bytes: int = UNLIMITED) -> None:
-        self.limit_bytes = limit_bytes
+    """Counts the messages of all holders against one limit, in bytes.
+
+    The count cannot know what the allocator loses to gaps. So the limit follows the memory that the process
+    has left: messages may take more than their share while it is ample, and less once it is critical.
+    """
+
+    def __init__(
+        self,
+        share_bytes: int = UNLIMITED,
+        process_bytes_left: Callable[[], int] = lambda: CRITICAL_BYTES_LEFT,
+    ) -> None:
+        """`share_bytes`: for connections and messages; `process_bytes_left`: what the process may take."""
+        self.share_bytes = share_bytes
+        self._process_bytes_left = process_bytes_left
+        self._extended_bytes = 0  # the most that messages have taken while memory was ample
         self._held: dict[MemoryHolder, HeldMessages] = {}
         self._message_bytes = 0  # the sum of `_held`
         self._connection_count = 0
         self._is_freeing = False
 
-    @property
-    def is_exceeded(self) -> bool:
-        """Return whether the messages take more than the connections leave of the limit."""
-        available_bytes = self.limit_bytes - self._connection_count * CONNECTION_BYTES
-        return self._message_bytes > max(available_bytes, GUARANTEED_BYTES)
+    def _find_limit(self) -> int:
+        """Return what messages may take."""
+        if self._message_bytes <= GUARANTEED_BYTES:  # spares the question
+            return GUARANTEED_BYTES
+        bytes_left = self._process_bytes_left()
+        if bytes_left < CRITICAL_BYTES_LEFT:
+            self._extended_bytes = 0
+            return GUARANTEED_BYTES
+        if bytes_left >= AMPLE_BYTES_LEFT:
+            self._extended_bytes = max(self._extended_bytes, self._message_bytes)
+        share_bytes = self.share_bytes - self._connection_count * CONNECTION_BYTES
+        return max(share_bytes, GUARANTEED_BYTES, self._extended_bytes)
 
     def add_connection(self) -> None:
         """Count a connection that was opened."""
@@ -89,8 +112,8 @@
     def update(self, holder: MemoryHolder, now: int) -> None:
         """Count what a holder keeps at present."""
         self._count(holder, now)
-        if self.is_exceeded and not self._is_freeing:
-            self._free(now)
+        if not self._is_freeing and self._message_bytes > (limit_bytes := self._find_limit()):
+            self._free(limit_bytes, now)
 
     def _count(self, holder: MemoryHolder, now: int) -> None:
         size = holder.held_bytes()
@@ -107,7 +130,7 @@
         if held is not None:
             self._message_bytes -= held.size
 
-    def _free(self, now: int) -> None:
+    def _free(self, limit_bytes: int, now: int) -> None:
         """End the costliest messages until the rest is within the limit."""
         self._is_freeing = True
         try:
@@ -115,7 +138,7 @@
                 self._count(holder, now)  # a peer may have read since
             costs = {holder: self._cost(holder, now) for holder in self._held}
             for holder in sorted(costs, key=costs.__getitem__, reverse=True):
-                if not self.is_exceeded:
+                if self._message_bytes <= limit_bytes:
                     break
                 if holder in self._held:  # else it has ended with another one's message
                     self._end_message(holder, now)
@@ -129,7 +152,7 @@
         kind = holder.message_kind()
         try:
             if holder.end_costly_message():
-                log_event("messages-full", bound_kib=self.limit_bytes // 1024, kind=kind.value)
+                log_event("messages-full", bound_kib=self.share_bytes // 1024, kind=kind.value)
         except Exception:  # of this holder only: the caller is another one
             log_event("defect", True, what="the end of a message")
         self._count(holder, now)
--- a/cedarmill/net/discovery/watch_connection.py
+++ b/cedarmill/net/discovery/watch_connection.py
@@ -31,7 +31,7 @@
         self.client, self.driver = client, client.driver
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
-        self.lists = ListStream(list_limit_bytes(client.memory.limit_bytes))
+        self.lists = ListStream(list_limit_bytes(client.memory.share_bytes))
         self.body = bytearray()  # chunks of one read, which may be single bytes, collected for one pass
         # Set after the first list; from then on an empty line confirms that the list is up to date.
         self.has_listing = False
--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -11,7 +11,13 @@
 import uvloop
 
 from cedarmill import log
-from cedarmill.admin.resource_split import ConnectionCounts, NodeLimits, message_memory_bytes, split_limits
+from cedarmill.admin.resource_split import (
+    ConnectionCounts,
+    NodeLimits,
+    message_memory_bytes,
+    process_memory_bytes,
+    split_limits,
+)
 from cedarmill.core.dispatch import Dispatch
 from cedarmill.core.memory_budget import MemoryBudget
 from cedarmill.core.timers import Timers
@@ -24,6 +30,7 @@
 from cedarmill.net.config import Address, Config, ConfigError, inherited_socket
 from cedarmill.net.discovery.client import DiscoveryClient
 from cedarmill.net.loop import EventLoopDriver
+from cedarmill.net.process_memory import ProcessMemory
 from cedarmill.net.reload import ConfigurationReload
 from cedarmill.net.shutdown import Shutdown
 from cedarmill.net.upgrade.call_id_locks import CallIdLocks
@@ -57,13 +64,13 @@
         self.timers = Timers()
         self.driver = EventLoopDriver(self.loop, self.timers)
         self.limits = self._node_limits()
-        own_limits = split_limits(self.limits, [])
-        self.memory = MemoryBudget(message_memory_bytes(self.limits, processes=1))
+        self.process_memory = ProcessMemory()
+        self.memory = MemoryBudget(process_bytes_left=self.process_memory.bytes_left)
+        self._limit_memory(processes=1)
         deadline_tracker = DeadlineTracker(options.deadlines, len(settings.classes))
-        self.clients = ClientServer(
-            self.driver, settings, own_limits.sessions, options.deadlines, self.memory
-        )
-        self.pools = UpstreamPools(self.driver, settings, own_limits.connections, options, self.memory)
+        sessions, connections = split_limits(self.limits, [])
+        self.clients = ClientServer(self.driver, settings, sessions, options.deadlines, self.memory)
+        self.pools = UpstreamPools(self.driver, settings, connections, options, self.memory)
         self.discovery = DiscoveryClient(
             self.driver, settings, config.discovery, self.pools, Random(config.seed), self.memory
         )
@@ -88,6 +95,11 @@
         )
         self.cluster_role = self._create_role(options.cluster) if options.cluster is not None else None
 
+    def _limit_memory(self, processes: int) -> None:
+        """Limit this process to its share of the node's memory."""
+        self.process_memory.limit_bytes = process_memory_bytes(self.limits, processes)
+        self.memory.share_bytes = message_memory_bytes(self.limits, processes)
+
     def _create_admin_api(self) -> None:
         """Create the admin API's handlers and its server."""
         self.admin_handlers = AdminHandlers(
@@ -121,7 +133,7 @@
     def _apply_sibling_counts(self, siblings: list[ConnectionCounts]) -> None:
         """Limit this process to the sessions and connections that the node's other processes leave."""
         self.clients.max_sessions, self.pools.max_connections = split_limits(self.limits, siblings)
-        self.memory.limit_bytes = message_memory_bytes(self.limits, processes=1 + len(siblings))
+        self._limit_memory(processes=1 + len(siblings))
         self.clients.open_requests.set_sibling_count(len(siblings))
 
     def _listen_for_health_checks(self) -> None:
--- a/tests/core/test_memory_budget.py
+++ b/tests/core/test_memory_budget.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from cedarmill.core.memory_budget import CONNECTION_BYTES, GUARANTEED_BYTES, MemoryBudget, MessageKind
+from cedarmill.core.memory_budget import (
+    AMPLE_BYTES_LEFT,
+    CONNECTION_BYTES,
+    CRITICAL_BYTES_LEFT,
+    GUARANTEED_BYTES,
+    MemoryBudget,
+    MessageKind,
+)
 
 MIB = 1024 * 1024
 LIMIT = 8 * MIB
@@ -39,7 +46,8 @@
 
 class Order(unittest.TestCase):
     def setUp(self) -> None:
-        self.budget = MemoryBudget(LIMIT)
+        self.bytes_left = CRITICAL_BYTES_LEFT
+        self.budget = MemoryBudget(LIMIT, lambda: self.bytes_left)
 
     def holders(self, count: int, size: int, now: int, **kind: bool) -> list[Holder]:
         holders = [Holder(self.budget, **kind) for _ in range(count)]
@@ -89,6 +97,24 @@
             holder.size = 0
         self.assertNotIn(True, self.ended(unread + self.holders(4, MIB, now=1_000)))
 
+    def test_messages_may_take_more_while_memory_is_ample(self):
+        """Guards against ending messages for which the process has room."""
+        self.bytes_left = AMPLE_BYTES_LEFT
+        holders = self.holders(10, MIB, now=0)
+        self.bytes_left = CRITICAL_BYTES_LEFT
+        self.assertNotIn(True, self.ended(holders))
+        self.holders(1, MIB, now=1)
+        self.assertEqual(sum(self.ended(holders)), 1)
+
+    def test_messages_may_take_little_once_memory_is_critical(self):
+        """Guards against a limit that the allocator's gaps pass."""
+        holders = self.holders(8, MIB, now=0)
+        self.bytes_left = CRITICAL_BYTES_LEFT - 1
+        holders += self.holders(1, MIB, now=1)
+        self.assertEqual(9 - sum(self.ended(holders)), GUARANTEED_BYTES // MIB)
+        self.bytes_left = CRITICAL_BYTES_LEFT
+        self.assertNotIn(True, self.ended(self.holders(6, MIB, now=2)))
+
     def test_connections_count_but_leave_a_guaranteed_part(self):
         for _ in range(LIMIT // CONNECTION_BYTES):
             self.budget.add_connection()
--- a/tests/net/test_message_memory.py
+++ b/tests/net/test_message_memory.py
@@ -39,8 +39,8 @@
     memory_mb = 32
     sockets = 512
 
-    def ask_all(self, job_class: str, budget: int) -> list:
-        return [self.client().ask(job_class, budget=budget) for _ in range(REQUESTS)]
+    def ask_all(self, job_class: str, budget: int, body: bytes = b"a body") -> list:
+        return [self.client().ask(job_class, budget=budget, body=body) for _ in range(REQUESTS)]
 
     def received(self, executor: int) -> ReceivedRequest | None:
         """Return a request that an executor has received, if any."""
@@ -127,9 +127,11 @@
                 self.next_request().done(text)
                 self.assertEqual(client.answer(), (200, text.encode()))
 
-    def play_slow_answers(self, spoilt_executors: int, result: str = "a" * BODY_BYTES) -> None:
+    def play_slow_answers(
+        self, spoilt_executors: int, result: str = "a" * BODY_BYTES, body: bytes = b"a body"
+    ) -> None:
         """Send the last part of the sound executors' answers only once all executors have begun theirs."""
-        clients, begun, spoilt = self.ask_all("issue", budget=3000), [], []
+        clients, begun, spoilt = self.ask_all("issue", budget=3000, body=body), [], []
 
         def answer(executor: int, request: ReceivedRequest) -> None:
             if executor < spoilt_executors:
@@ -153,6 +155,10 @@
         """Guards against a bound that honest answers pass, each of which is half there at the same time."""
         self.play_slow_answers(spoilt_executors=0)
 
+    def test_slow_whole_answers_to_requests_of_64_kib_are_all_served(self):
+        """Guards against a share that ends honest messages for which the process has room."""
+        self.play_slow_answers(spoilt_executors=0, body=b"b" * BODY_BYTES)
+
     def test_slow_whole_answers_of_escapes_are_all_served(self):
         """Guards against answers that are kept with their escapes, three times as long as their results."""
         self.play_slow_answers(spoilt_executors=0, result="\u00e9" * (BODY_BYTES // 2))
@@ -202,12 +208,8 @@
 
     def test_bodies_of_requests_are_not_kept_once_their_clients_have_left(self):
         """Guards against a body that is kept for each attempt until its deadline."""
-        for number in range(5):
-            clients = [
-                self.client().ask("pin", path=f"/api/{number:x}", body=b"a" * BODY_BYTES)
-                for _ in range(REQUESTS)
-            ]
-            for client in clients:
+        for _ in range(5):
+            for client in self.ask_all("pin", budget=6000, body=b"a" * BODY_BYTES):
                 self.wait_for(lambda: any(self.received(n) for n in range(self.executor_count)))
                 client.close()
         self.check_memory()
