Compare where a long line's result stands, whatever its key is spelled like

A line with two results is malformed if the begin of one was decoded early. The check counted the key by its letters, so a second key with an escape in it was not seen, and the begin of one result would have been joined with the other: an answer that no executor gave. It compares places now: the result that the line has in the end has to be the string whose begin was decoded. The new case of the test failed before.

--- a/cedarmill/net/upstream/line_buffer.py
+++ b/cedarmill/net/upstream/line_buffer.py
@@ -25,9 +25,7 @@
 _FLAT_OBJECT = rb'\{(?:[^{}"]|' + _STRING + rb")*+\}"
 _MEMBER = rb'\s*+(?!"result")' + _STRING + rb"\s*+:\s*+(?:" + _STRING + rb"|" + _FLAT_OBJECT
 _MEMBER += rb'|[^\s",{}\[\]]++)\s*+,'
-_RESULT_KEY = rb'"result"\s*+:'
-RESULT_START = re.compile(rb"\s*+\{(?:" + _MEMBER + rb")*+\s*+" + _RESULT_KEY + rb'\s*+"', re.DOTALL)
-RESULT_KEY = re.compile(_RESULT_KEY)
+RESULT_START = re.compile(rb"\s*+\{(?:" + _MEMBER + rb')*+\s*+"result"\s*+:\s*+"', re.DOTALL)
 # Whole characters of a JSON string; the two halves of a surrogate pair are one.
 _SURROGATES = rb"[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}"
 _CODE_UNIT = rb"[0-9a-cefA-CEF][0-9a-fA-F]{3}|[dD][0-7][0-9a-fA-F]{2}"
@@ -41,6 +39,11 @@
 
     text: bytes
     result_start: bytes = b""
+    result_at: int = 0  # where the string begins in `text` whose begin is in `result_start`
+
+    def continues_with(self, result: bytes) -> bool:
+        """Return whether `result` in `text` is the string whose begin is in `result_start`."""
+        return self.text.startswith(result, self.result_at)
 
 
 def whole_characters(text: bytes) -> int:
@@ -105,7 +108,9 @@
     def _to_line(self, text: bytes) -> LineText:
         """Return the line that ends with `text`."""
         start = b"".join(self._parts)
-        return LineText(start + text) if self._result_at is None else LineText(text, start)
+        return (
+            LineText(start + text) if self._result_at is None else LineText(text, start, self._result_at - 1)
+        )
 
     def _take_lines(self) -> list[LineText]:
         first, *others = bytes(self._text).split(LINE_END)  # one split for all lines, which may be many
--- a/tests/net/test_line_buffer.py
+++ b/tests/net/test_line_buffer.py
@@ -39,9 +39,10 @@
 
     def test_a_line_with_two_results_is_malformed(self):
         long = "a" * LONG
-        line = f'{{"id":"c1","state":"done","result":"{long}","result":"b"}}\n'
-        with self.assertRaises(ValueError):
-            served(line.encode(), 1000)
+        for key in ("result", "r\\u0065sult"):
+            line = f'{{"id":"c1","state":"done","result":"{long}","{key}":"b"}}\n'
+            with self.subTest(key), self.assertRaises(ValueError):
+                served(line.encode(), 1000)
 
     def test_a_result_that_is_no_string_is_kept_as_it_came(self):
         value = json.dumps({"a": ["\u00e9" * (LONG // 2)]})
