Collect garbage when little memory is left

With the limit on messages in force, a node of 32 MB under the worst fault of benchmarks/memory.py went on growing, to 31.6 MB within 40 s and 31.7 MB within 60 s. The heap did not: what grew were connections and requests that were over. They are in reference cycles, and with few long-lived objects the collector's last generation comes only every minute or so.

Change: as the process's memory is read and is critical, garbage is collected, once a second at most.

--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -64,7 +64,7 @@
         self.timers = Timers()
         self.driver = EventLoopDriver(self.loop, self.timers)
         self.limits = self._node_limits()
-        self.process_memory = ProcessMemory()
+        self.process_memory = ProcessMemory(self.driver)
         self.memory = MemoryBudget(process_bytes_left=self.process_memory.bytes_left)
         self._limit_memory(processes=1)
         deadline_tracker = DeadlineTracker(options.deadlines, len(settings.classes))
