Count messages only where there may be one that counts

A read that leaves nothing unfinished, an answer that has left, and an exchange that is over are no longer counted; a line that comes whole in one read is not copied into the buffer first; a result is dropped only where its message has not ended.

A line of another form whose end comes alone after a part was set aside would have lost that part: found while reading this change, which would have brought it in; the test has the case.

--- a/cedarmill/core/memory_budget.py
+++ b/cedarmill/core/memory_budget.py
@@ -109,6 +109,10 @@
         """Stop counting a connection that has ended."""
         self._connection_count -= 1
 
+    def is_counted(self, holder: MemoryHolder) -> bool:
+        """Return whether a holder had messages at its last update that are counted."""
+        return holder in self._held
+
     def update(self, holder: MemoryHolder, now: int) -> None:
         """Count what a holder keeps at present."""
         self._count(holder, now)
--- a/cedarmill/net/clients/session.py
+++ b/cedarmill/net/clients/session.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, cast
 
 from cedarmill.core.client_session_events import SessionAction, SessionEvent
+from cedarmill.core.memory_budget import MIN_COUNTED_BYTES
 from cedarmill.core.requests import Request
 from cedarmill.decisions import interface as api
 from cedarmill.log import log_event
@@ -83,7 +84,8 @@
             if not has_waiting_input:
                 self.unread_since = None
             self.serve_queued_requests()
-            self.count_memory()
+            if len(data) >= MIN_COUNTED_BYTES or reader.incomplete is not None:
+                self.count_memory()
         else:
             self.discarded_bytes += len(data)
             self.set_reading_paused(self.discarded_bytes > limits.MAX_DISCARDED_BYTES)
@@ -285,4 +287,5 @@
         if self.send(response.compose(message, status, body, headers, last)):
             self.handle(_LAST_ANSWER_WRITTEN if last else _ANSWER_WRITTEN)
         self.memory.remove(self)  # the answer is kept from now on, whenever its request came
-        self.count_memory()
+        if self.transport.get_write_buffer_size() >= MIN_COUNTED_BYTES or self.reader.requests:
+            self.count_memory()
--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -145,7 +145,10 @@
         end = exchange.pending_end or malformed_end
         if end is not None:
             exchange.finish(now, end)
-        self.count_memory()
+        if self.exchange is not None:
+            if self.exchange is exchange:
+                exchange.drop_result()
+            self.count_memory()
 
     def _release_after_answer(self, exchange: "Exchange") -> None:
         assert self.transport is not None
@@ -200,10 +203,11 @@
 
     def _detach_exchange(self) -> None:
         """Forget the exchange and what was kept of its messages."""
-        if self.exchange is not None:
+        memory = self.pools.memory
+        if self.exchange is not None and memory.is_counted(self):
             self.exchange.drop_answer()
+            memory.remove(self)
         self.exchange = self.answer.exchange = None
-        self.pools.memory.remove(self)
 
     def _cancel_timers(self) -> None:
         self._state_timer.cancel()
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -107,8 +107,11 @@
         if not self.finished:
             self.finished = True
             self.report_end(now, end)
-            if self.pending_end is not None:  # the message may take a while to end
-                self.pending_end = self.pending_end._replace(result=None)
+
+    def drop_result(self) -> None:
+        """Free the result of an exchange that is finished, while its message has not ended."""
+        if self.pending_end is not None:
+            self.pending_end = self.pending_end._replace(result=None)
 
     def drop_answer(self) -> None:
         """Free what is kept of the answer; an exchange that was cancelled may be in a reference cycle."""
--- a/cedarmill/net/upstream/line_buffer.py
+++ b/cedarmill/net/upstream/line_buffer.py
@@ -92,9 +92,9 @@
 
     def feed(self, data: bytes) -> list[LineText]:
         """Add bytes and return the lines that they complete; raise ValueError for an unusable line."""
-        self._text += data
         if LINE_END in data:  # searches only the new bytes, since an answer may arrive in many small pieces
-            return self._take_lines()
+            return self._take_lines(data)
+        self._text += data
         if len(self._text) >= self._compact_at:
             self._compact()
         if self._size > MAX_LINE_BYTES:
@@ -112,11 +112,14 @@
             LineText(start + text) if self._result_at is None else LineText(text, start, self._result_at - 1)
         )
 
-    def _take_lines(self) -> list[LineText]:
-        first, *others = bytes(self._text).split(LINE_END)  # one split for all lines, which may be many
+    def _take_lines(self, data: bytes) -> list[LineText]:
+        first, *others = data.split(LINE_END)  # one split for all lines, which may be many
         rest = others.pop()
-        lines = [self._to_line(first), *map(LineText, others)]
-        self._begin_line(rest)
+        has_begun = self._text or self._parts
+        lines = [self._to_line(bytes(self._text) + first) if has_begun else LineText(first)]
+        lines += map(LineText, others)
+        if rest or has_begun:
+            self._begin_line(rest)
         return lines
 
     def _compact(self) -> None:
--- a/tests/net/test_line_buffer.py
+++ b/tests/net/test_line_buffer.py
@@ -46,8 +46,10 @@
 
     def test_a_result_that_is_no_string_is_kept_as_it_came(self):
         value = json.dumps({"a": ["\u00e9" * (LONG // 2)]})
-        line = f'{{"id":"c1","state":"done","result":{value}}}\n'
-        self.assertEqual(served(line.encode(), 1000), value.encode())
+        line = f'{{"id":"c1","state":"done","result":{value}}}'
+        for step in (1000, COMPACT_BYTES, len(line)):  # the end of the line comes alone with the last
+            with self.subTest(step=step):
+                self.assertEqual(served(line.encode() + b"\n", step), value.encode())
 
     def test_an_escaped_result_takes_no_more_memory_than_its_bytes(self):
         buffer, line = LineBuffer(), b'{"id":"c1","state":"done","result":"' + b"\\u0001" * 65_536
