Block signals once the event loop has ended, so that a late one does not kill the process

What operators saw: a node told to end twice had, now and then, the exit status of a process killed by SIGTERM, though its log said that it had ended.

Cause: the interpreter needs some 20 ms to exit and gives up its signal handlers early in that time.

--- a/cedarmill/net/node.py
+++ b/cedarmill/net/node.py
@@ -186,6 +186,7 @@
         gc.freeze()
         self.driver.run_due_timers()
         self.loop.run_forever()
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # the interpreter gives up its handlers as it ends
         self.sibling_exchange.remove_document()
         log_event("ended", name=self.config.name)
 
--- a/tests/net/test_node.py
+++ b/tests/net/test_node.py
@@ -5,6 +5,7 @@
 import os
 import re
 import select
+import signal
 import socket
 import subprocess
 import sys
@@ -585,6 +586,23 @@
         self.assertEqual(self.process.wait(WAIT), 0)
 
 
+class SignalsDuringTheExit(NodeCase):
+    def command(self, module: str, *arguments: str) -> list[str]:
+        return [sys.executable, "-m", module, *arguments]  # The guard of timers has a handler of its own.
+
+    def test_a_signal_after_the_last_session_does_not_change_the_exit_status(self):
+        """Guards against a planned end that looks like a crash, since a signal came as the process exited."""
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1):
+            with self.subTest(number.name):
+                self.terminate()
+                self.wait_log("has ended")
+                self.process.send_signal(number)
+                self.assertEqual(self.process.wait(WAIT), 0)
+                self.process.stderr.close()
+                self.process = self.start(self.config())
+                self.wait_log("serves on")
+
+
 class DrainBeforeKill(NodeCase):
     def test_a_request_late_in_a_drain_is_answered_before_sigkill(self):
         """SIGKILL may come 3.7 s after SIGTERM, which loses a late request that is still unanswered."""
