Stop the time for an overlong line once the line has ended

A progress line over 80 KiB that ended in time, which was accepted before, broke its attempt 1 s later. The time now follows whether the line that is incomplete is overlong.

--- a/cedarmill/net/upstream/connection.py
+++ b/cedarmill/net/upstream/connection.py
@@ -139,9 +139,8 @@
         elif exchange.pending_end is not None and not exchange.finished:  # only the message's end is missing
             self.writer.withhold_last_byte()
             self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.ANSWER_END_TIMED_OUT)
-        elif exchange.is_overlong and not exchange.is_end_due:
-            exchange.is_end_due = True
-            self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.LINE_TOO_LONG)
+        elif exchange.is_overlong != exchange.is_end_due:
+            self._limit_line_end(exchange, now)
         end = exchange.pending_end or malformed_end
         if end is not None:
             exchange.finish(now, end)
@@ -150,6 +149,14 @@
                 exchange.drop_result()
             self.count_memory()
 
+    def _limit_line_end(self, exchange: "Exchange", now: int) -> None:
+        """Start the time for an overlong line to end, or stop it once the line has ended."""
+        exchange.is_end_due = exchange.is_overlong
+        if exchange.is_end_due:
+            self._schedule_abort(now + ANSWER_END_TIMEOUT_US, BreakReason.LINE_TOO_LONG)
+        else:
+            self._state_timer.cancel()
+
     def _release_after_answer(self, exchange: "Exchange") -> None:
         assert self.transport is not None
         is_intact = self.writer.written and not self.transport.is_closing()
--- a/cedarmill/net/upstream/exchange.py
+++ b/cedarmill/net/upstream/exchange.py
@@ -63,7 +63,7 @@
         self.body = bytearray()
         self.pending_end: ExchangeEnd | None = None  # read from the answer, not reported yet
         self.finished = False  # whether the end has been reported
-        self.is_end_due = False  # whether the answer's end has a time limit
+        self.is_end_due = False  # whether the end of an overlong line has a time limit
         self.spoils_connection = False  # whether another answer may still come on the connection
 
     def outcome_if_blocked(self, now: int) -> Outcome | None:
--- a/tests/net/test_late_answer_end.py
+++ b/tests/net/test_late_answer_end.py
@@ -5,7 +5,7 @@
 
 import time
 import unittest
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from cedarmill.decisions.interface import Outcome
 from cedarmill.net.config import Address
@@ -27,6 +27,7 @@
 
 FINAL_LINE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"  # with all before it
 LAST_CHUNK = "0\r\n\r\n"
+BEGUN_LINE, LATER_PART = FINAL_LINE[:-8], FINAL_LINE[-8:-5]  # neither has a body
 SETTLED_S = 1.2 * DUPLICATE_ANSWER_WINDOW_US / 1e6  # after this, any request may reuse the connection
 PAST_ANSWER_END_S = 1.3 * ANSWER_END_TIMEOUT_US / 1e6
 LONGEST_WAIT_S = ANSWER_END_TIMEOUT_US / 1e6 + WAIT
@@ -171,6 +172,25 @@
         self.driver.advance(1)
         self.assertTrue(self.connection.transport.aborted)
 
+    def test_time_for_an_overlong_line_ends_with_the_line(self):
+        """Guards against a long progress line that ends its attempt although it has ended in time."""
+        exchange = self.send_next()
+        with patch.object(LineExchange, "is_overlong", True):
+            self.connection.data_received(BEGUN_LINE)
+        self.connection.data_received(LATER_PART)
+        self.check_open_for(2 * ANSWER_END_TIMEOUT_US)
+        self.assertIsNone(exchange.outcome)
+
+    def test_overlong_line_that_does_not_end_breaks_the_connection(self):
+        exchange = self.send_next()
+        with patch.object(LineExchange, "is_overlong", True):
+            self.connection.data_received(BEGUN_LINE)
+            self.connection.data_received(LATER_PART)
+            self.check_open_for(ANSWER_END_TIMEOUT_US)
+            self.driver.advance(1)
+        self.assertTrue(self.connection.transport.aborted)
+        self.assertEqual(exchange.outcome, Outcome.RESET)
+
     def test_discarded_connection_leaves_no_timer(self):
         """Guards against a timer that fires for a connection that a cancelled attempt has closed."""
         self.send_next()
